--- /dev/null
+++ b/agent/errors.go
@@ -0,0 +1,69 @@
+package agent
+
+import (
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"ebonyreel/agents"
+	agentv1 "ebonyreel/proto/agent/v1"
+	"ebonyreel/reservation"
+)
+
+// comeBack is when to try again after a short-lived refusal.
+const comeBack = time.Second
+
+// DownError reports that the endpoint has not been heard from lately.
+type DownError struct{}
+
+// Error says so.
+func (*DownError) Error() string {
+	return "endpoint is down"
+}
+
+// NoLeaseError reports that the agent may not take new work, as its lease has
+// lapsed or its document is old.
+type NoLeaseError struct{}
+
+// Error says so.
+func (*NoLeaseError) Error() string {
+	return "agent has no lease on the newest document"
+}
+
+// RoleError reports work of a role that the endpoint does not have.
+type RoleError struct {
+	Role  string
+	Asked string
+}
+
+// Error names both roles.
+func (e *RoleError) Error() string {
+	return "endpoint has the role " + e.Role + ", not " + e.Asked
+}
+
+func duration(d time.Duration) *durationpb.Duration {
+	return durationpb.New(d)
+}
+
+// notRun refuses work that was not started and will not be.
+func notRun(err error) error {
+	r := &agents.RefusalError{Code: agentv1.Refusal_CODE_NOT_RUN, Reason: err.Error(), RetryAfter: comeBack}
+	var full *reservation.FullError
+	var large *reservation.TooLargeError
+	var stale *reservation.StaleError
+	switch {
+	case errors.As(err, &full):
+		r.RetryAfter = max(full.RetryAfter, comeBack)
+	case errors.As(err, &large):
+		r.RetryAfter = 0
+	case errors.As(err, &stale):
+		r.Code = agentv1.Refusal_CODE_STALE
+	}
+	return r.Connect()
+}
+
+func refusal(code agentv1.Refusal_Code, err error) error {
+	r := &agents.RefusalError{Code: code, Reason: err.Error(), RetryAfter: comeBack}
+	return r.Connect()
+}
--- /dev/null
+++ b/agent/generate.go
@@ -0,0 +1,313 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"ebonyreel/endpoints"
+	"ebonyreel/engines"
+	agentv1 "ebonyreel/proto/agent/v1"
+	"ebonyreel/reservation"
+)
+
+const (
+	// streamHeartbeat is the longest silence on a stream to an entry.
+	streamHeartbeat = time.Second
+	// importTimeout bounds the transfer of a KV cache.
+	importTimeout = 5 * time.Second
+	// probeTimeout bounds the look whether an engine is still there.
+	probeTimeout = 500 * time.Millisecond
+	// tokenRing bounds the tokens between the engine and a slow entry.
+	tokenRing = 256
+)
+
+func attemptOf(a *agentv1.Attempt) reservation.Attempt {
+	return reservation.Attempt{Request: a.GetRequest(), Number: a.GetNumber(), Entry: a.GetEntry()}
+}
+
+// engineName is the name of an attempt at an engine. It names the attempt too,
+// so that cancelling one never touches the next.
+func engineName(a reservation.Attempt) string {
+	return a.Request + "/" + strconv.FormatUint(uint64(a.Number), 10)
+}
+
+// Reserve queues a request for decode memory, and answers again with the grant.
+func (a *Agent) Reserve(ctx context.Context, r *connect.Request[agentv1.ReserveRequest], out *connect.ServerStream[agentv1.ReserveResponse]) error {
+	e, err := a.acceptsRole(endpoints.RoleDecode)
+	if err != nil {
+		return notRun(err)
+	}
+	at := attemptOf(r.Msg.GetAttempt())
+	place, granted, err := e.memory.ask(askOf(r.Msg, at))
+	if err != nil {
+		return notRun(err)
+	}
+	queued := &agentv1.ReserveResponse{Ahead: uint32(place.Ahead), ExpectedWait: duration(place.Wait), Load: a.load()}
+	if err := out.Send(queued); err != nil {
+		e.memory.release(at)
+		return err
+	}
+	return a.await(ctx, e, at, granted, out)
+}
+
+func askOf(r *agentv1.ReserveRequest, at reservation.Attempt) reservation.Ask {
+	ask := reservation.Ask{Attempt: at, Tokens: int(r.GetTokens()), Priority: int(r.GetPriority())}
+	if p := r.GetPatience().AsDuration(); p > 0 {
+		ask.Deadline = time.Now().Add(p)
+	}
+	return ask
+}
+
+// await sends the grant once it is there, and heartbeats until then.
+func (a *Agent) await(ctx context.Context, e *endpoint, at reservation.Attempt, granted <-chan outcome, out *connect.ServerStream[agentv1.ReserveResponse]) error {
+	beat := time.NewTicker(streamHeartbeat)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			e.memory.release(at)
+			return ctx.Err()
+		case <-e.memory.done:
+			return refusal(agentv1.Refusal_CODE_ENDPOINT_CRASHED, &DownError{})
+		case o := <-granted:
+			if !o.granted {
+				return notRun(&reservation.FullError{RetryAfter: comeBack})
+			}
+			err := out.Send(&agentv1.ReserveResponse{Granted: true, Reservation: o.grant.ID, Load: a.load()})
+			if err != nil {
+				e.memory.release(at)
+			}
+			return err
+		case <-beat.C:
+			if err := out.Send(&agentv1.ReserveResponse{}); err != nil {
+				e.memory.release(at)
+				return err
+			}
+		}
+	}
+}
+
+// Prefill computes the KV cache of a prompt and exports it.
+func (a *Agent) Prefill(ctx context.Context, r *connect.Request[agentv1.PrefillRequest]) (*connect.Response[agentv1.PrefillResponse], error) {
+	e, err := a.acceptsRole(endpoints.RolePrefill)
+	if err != nil {
+		return nil, notRun(err)
+	}
+	a.working.Add(1)
+	defer a.working.Add(-1)
+	m := r.Msg
+	ctx, span := a.tracer.Start(ctx, "Prefill")
+	defer span.End()
+	res, err := e.engine.Prefill(ctx, engines.PrefillCall{
+		Request:  engineName(attemptOf(m.GetAttempt())),
+		Prompt:   m.GetPrompt(),
+		Position: int(m.GetResumePosition()),
+		Priority: int(m.GetPriority()),
+	})
+	if err != nil {
+		e.canceller.cancel(engineName(attemptOf(m.GetAttempt())))
+		return nil, a.broken(e, err)
+	}
+	return connect.NewResponse(&agentv1.PrefillResponse{
+		Kv: &agentv1.KvHandle{
+			Address: e.announcement.Address.String(),
+			Handle:  res.Handle,
+			Bytes:   res.Bytes,
+			Lives:   duration(res.Lives()),
+		},
+		PromptTokens: uint32(res.PromptTokens),
+		CachedTokens: uint32(res.CachedTokens),
+		Load:         a.load(),
+	}), nil
+}
+
+// broken tells a crash of the engine from a refusal and a cut connection.
+func (a *Agent) broken(e *endpoint, err error) error {
+	var status *engines.StatusError
+	if errors.As(err, &status) {
+		return refusal(agentv1.Refusal_CODE_NOT_RUN, err)
+	}
+	ctx, cancel := context.WithTimeout(a.base, probeTimeout)
+	defer cancel()
+	running, probe := e.engine.Running(ctx)
+	if probe != nil || running.Instance != e.announcement.Instance {
+		return refusal(agentv1.Refusal_CODE_ENDPOINT_CRASHED, err)
+	}
+	return refusal(agentv1.Refusal_CODE_OUTCOME_UNKNOWN, err)
+}
+
+// Decode imports a KV cache into promised memory and streams the tokens.
+// Whatever way it ends, the promise is released.
+func (a *Agent) Decode(ctx context.Context, r *connect.Request[agentv1.DecodeRequest], out *connect.ServerStream[agentv1.DecodeResponse]) error {
+	e := a.current()
+	if e == nil || e.memory == nil {
+		return notRun(&DownError{})
+	}
+	m := r.Msg
+	at := attemptOf(m.GetAttempt())
+	pieces, err := e.memory.hold(at, m.GetReservation())
+	if err != nil {
+		return notRun(err)
+	}
+	a.working.Add(1)
+	defer a.working.Add(-1)
+	defer e.memory.release(at)
+	if err := a.importKv(ctx, e, m, pieces); err != nil {
+		e.canceller.cancel(engineName(at))
+		return err
+	}
+	if err := out.Send(&agentv1.DecodeResponse{Attempt: at.Number, Imported: true, Load: a.load()}); err != nil {
+		e.canceller.cancel(engineName(at))
+		return err
+	}
+	if err := a.relay(ctx, e, m, out); err != nil {
+		e.canceller.cancel(engineName(at))
+		return err
+	}
+	return nil
+}
+
+// importKv fetches the KV cache. The prefill engine says 404 or 410 when the
+// export is gone.
+func (a *Agent) importKv(ctx context.Context, e *endpoint, m *agentv1.DecodeRequest, pieces int) error {
+	ctx, span := a.tracer.Start(ctx, "Transfer")
+	defer span.End()
+	from, err := netip.ParseAddrPort(m.GetKv().GetAddress())
+	if err != nil {
+		return notRun(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, importTimeout)
+	defer cancel()
+	err = e.engine.Import(ctx, engines.ImportCall{
+		Request: engineName(attemptOf(m.GetAttempt())), From: from, Handle: m.GetKv().GetHandle(), Pieces: pieces,
+	})
+	if err == nil {
+		return nil
+	}
+	var status *engines.StatusError
+	gone := errors.As(err, &status) && (status.Status == http.StatusGone || status.Status == http.StatusNotFound)
+	if gone || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refusal(agentv1.Refusal_CODE_KV_GONE, err)
+	}
+	return a.broken(e, err)
+}
+
+// relay passes tokens on, and heartbeats while there are none.
+func (a *Agent) relay(ctx context.Context, e *endpoint, m *agentv1.DecodeRequest, out *connect.ServerStream[agentv1.DecodeResponse]) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ctx, span := a.tracer.Start(ctx, "Decode")
+	defer span.End()
+	tokens := make(chan engines.Token, tokenRing)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- e.engine.Decode(ctx, decodeCall(m), func(t engines.Token) error { return put(ctx, tokens, t) })
+		close(tokens)
+	}()
+	beat := time.NewTicker(streamHeartbeat)
+	defer beat.Stop()
+	for {
+		select {
+		case <-beat.C:
+			if err := out.Send(&agentv1.DecodeResponse{Attempt: m.GetAttempt().GetNumber(), Heartbeat: true}); err != nil {
+				return err
+			}
+		case t, ok := <-tokens:
+			if !ok {
+				return a.ended(ctx, e, <-ended)
+			}
+			if err := out.Send(a.message(m, t)); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (a *Agent) ended(ctx context.Context, e *endpoint, err error) error {
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	return a.broken(e, err)
+}
+
+func put(ctx context.Context, tokens chan<- engines.Token, t engines.Token) error {
+	select {
+	case tokens <- t:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func decodeCall(m *agentv1.DecodeRequest) engines.DecodeCall {
+	return engines.DecodeCall{
+		Request:      engineName(attemptOf(m.GetAttempt())),
+		FromPosition: int(m.GetFromPosition()),
+		MaxTokens:    int(m.GetMaxTokens()),
+		Priority:     int(m.GetPriority()),
+	}
+}
+
+func (a *Agent) message(m *agentv1.DecodeRequest, t engines.Token) *agentv1.DecodeResponse {
+	out := &agentv1.DecodeResponse{
+		Attempt:      m.GetAttempt().GetNumber(),
+		Position:     uint32(t.Position),
+		Token:        t.Text,
+		End:          t.End,
+		FinishReason: t.FinishReason,
+	}
+	if t.End {
+		out.Load = a.load()
+	}
+	return out
+}
+
+// Release ends an attempt, whether it waits, holds or was exported here.
+func (a *Agent) Release(_ context.Context, r *connect.Request[agentv1.ReleaseRequest]) (*connect.Response[agentv1.ReleaseResponse], error) {
+	if e := a.current(); e != nil && e.memory != nil {
+		at := attemptOf(r.Msg.GetAttempt())
+		e.memory.release(at)
+		e.canceller.cancel(engineName(at))
+	}
+	return connect.NewResponse(&agentv1.ReleaseResponse{}), nil
+}
+
+// Renew extends the leases of the requests that one entry has here.
+func (a *Agent) Renew(_ context.Context, r *connect.Request[agentv1.RenewRequest]) (*connect.Response[agentv1.RenewResponse], error) {
+	out := &agentv1.RenewResponse{AgentIncarnation: a.announcer.Incarnation(), Load: a.load()}
+	e := a.current()
+	out.EndpointUp = e != nil
+	if e == nil || e.memory == nil {
+		return connect.NewResponse(out), nil
+	}
+	attempts := make([]reservation.Attempt, 0, len(r.Msg.GetAttempts()))
+	for _, t := range r.Msg.GetAttempts() {
+		attempts = append(attempts, attemptOf(t))
+	}
+	for _, t := range e.memory.renew(attempts) {
+		out.Unknown = append(out.Unknown, &agentv1.Attempt{Request: t.Request, Number: t.Number, Entry: t.Entry})
+	}
+	return connect.NewResponse(out), nil
+}
+
+// Drain makes the agent leave.
+func (a *Agent) Drain(context.Context, *connect.Request[agentv1.DrainRequest]) (*connect.Response[agentv1.DrainResponse], error) {
+	a.Leave()
+	return connect.NewResponse(&agentv1.DrainResponse{InFlight: uint32(a.InFlight())}), nil
+}
+
+// Status describes the agent.
+func (a *Agent) Status(context.Context, *connect.Request[agentv1.StatusRequest]) (*connect.Response[agentv1.StatusResponse], error) {
+	m := a.announcer.Member()
+	out := &agentv1.StatusResponse{Agent: m.GetName(), Incarnation: m.GetIncarnation(), Load: a.load(), EndpointUp: a.Up()}
+	if d := a.view.Document(); d != nil {
+		out.DocumentNumber = d.Number
+	}
+	return connect.NewResponse(out), nil
+}
--- /dev/null
+++ b/agent/metrics.go
@@ -0,0 +1,11 @@
+package agent
+
+import "expvar"
+
+// Metrics returns the metrics of the agent, for expvar.
+func (a *Agent) Metrics() expvar.Var {
+	m := new(expvar.Map).Init()
+	m.Set("InFlight", expvar.Func(func() any { return a.InFlight() }))
+	m.Set("EndpointUp", expvar.Func(func() any { return a.Up() }))
+	return m
+}
--- /dev/null
+++ b/cmd/agent/command.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"ebonyreel/agent"
+	"ebonyreel/controls"
+	"ebonyreel/document"
+	"ebonyreel/endpoints"
+	"ebonyreel/logs"
+	"ebonyreel/process"
+	"ebonyreel/proto/agent/v1/agentv1connect"
+	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/settings"
+	"ebonyreel/traces"
+	"ebonyreel/transport"
+)
+
+// drainPoll is the time between looks whether the last call has ended.
+const drainPoll = 50 * time.Millisecond
+
+func newCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:          "agent",
+		Short:        "Stand beside one endpoint and be the only way to it",
+		SilenceUsage: true,
+		RunE: func(*cobra.Command, []string) error {
+			s, err := settings.ReadAgent(file)
+			if err != nil {
+				return err
+			}
+			return run(s)
+		},
+	}
+	c.PersistentFlags().StringVar(&file, "settings", "agent.json", "settings file")
+	c.AddCommand(&cobra.Command{
+		Use:   "check-settings",
+		Short: "Check the settings file and exit",
+		RunE: func(*cobra.Command, []string) error {
+			_, err := settings.ReadAgent(file)
+			return err
+		},
+	})
+	return c
+}
+
+// run starts the duties of an agent and waits for its planned stop.
+func run(s settings.Agent) error {
+	log := logs.New("agent", s.Name)
+	tracer, err := traces.Open(s.TraceFile, "agent", s.Name)
+	if err != nil {
+		return err
+	}
+	tracing, err := tracer.Interceptor()
+	if err != nil {
+		return err
+	}
+	stopping, stop := process.Stopping()
+	defer stop()
+	base, end := context.WithCancel(context.Background())
+	defer end()
+
+	client := controls.NewClient(transport.NewClient(), s.Controls)
+	view := controls.NewView(client, s.Environment, log)
+	announcer := controls.NewAnnouncer(client, view, member(s), log)
+	a := agent.New(base, announcer, view, tracer, log)
+	go view.Run(base)
+	go join(base, a, announcer)
+	go followOrders(base, view, announcer, stop)
+
+	peers := transport.NewServer(peerRoutes(a, connect.WithInterceptors(tracing)))
+	endpoint := transport.NewServer(endpointRoutes(a))
+	operators := transport.NewServer(operatorRoutes(a))
+	failed := make(chan error, 3)
+	go func() { failed <- transport.Serve(base, peers, s.Peers) }()
+	go func() { failed <- transport.Serve(base, endpoint, s.Endpoint) }()
+	go func() { failed <- transport.Serve(base, operators, s.Operators) }()
+	log.WithField("Peers", s.Peers.String()).Info("started")
+	select {
+	case err := <-failed:
+		return err
+	case <-stopping.Done():
+	}
+	planned(base, a, announcer, log)
+	process.Shutdown(log, peers, endpoint, operators)
+	return tracer.Close(base)
+}
+
+// join announces the agent once its endpoint is known.
+func join(ctx context.Context, a *agent.Agent, n *controls.Announcer) {
+	select {
+	case <-ctx.Done():
+	case <-a.First():
+		n.Run(ctx)
+	}
+}
+
+// followOrders stops the process once its own member is marked as leaving.
+func followOrders(ctx context.Context, v *controls.View, n *controls.Announcer, stop func()) {
+	for {
+		changed := v.Changed()
+		own := n.Member()
+		for _, m := range v.All() {
+			leaving := m.GetState() == controlv1.MemberState_MEMBER_STATE_LEAVING
+			if leaving && m.GetName() == own.GetName() && m.GetIncarnation() == own.GetIncarnation() {
+				stop()
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// planned refuses new work, tells control, waits for what is in flight, and
+// leaves the membership.
+func planned(ctx context.Context, a *agent.Agent, n *controls.Announcer, log *logrus.Entry) {
+	a.Leave()
+	if n.Incarnation() == 0 {
+		return
+	}
+	if err := n.Leave(ctx, false); err != nil {
+		log.WithError(err).Warn("leaving not announced")
+	}
+	for a.InFlight() > 0 {
+		time.Sleep(drainPoll)
+	}
+	if err := n.Leave(ctx, true); err != nil {
+		log.WithError(err).Warn("leave failed, the lease will lapse")
+	}
+	log.Info("drained")
+}
+
+func member(s settings.Agent) *controlv1.Member {
+	return &controlv1.Member{
+		Environment:   s.Environment,
+		Name:          s.Name,
+		Address:       s.Peers.String(),
+		FailureDomain: s.FailureDomain,
+		State:         controlv1.MemberState_MEMBER_STATE_SERVING,
+		DocumentLevel: document.Level,
+	}
+}
+
+func peerRoutes(a *agent.Agent, opts ...connect.HandlerOption) http.Handler {
+	m := http.NewServeMux()
+	m.Handle(agentv1connect.NewAgentServiceHandler(a, opts...))
+	return m
+}
+
+func endpointRoutes(a *agent.Agent) http.Handler {
+	m := http.NewServeMux()
+	m.Handle("POST /Announce", endpoints.Handler(a.Take))
+	return m
+}
+
+func operatorRoutes(a *agent.Agent) http.Handler {
+	m := http.NewServeMux()
+	process.Metrics(m, "Agent", a.Metrics())
+	return m
+}
--- /dev/null
+++ b/control/server.go
@@ -0,0 +1,173 @@
+// Package control is the process that holds the environment documents, the
+// membership, the operation records and the strikes, and that answers lists
+// and watches of them.
+package control
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"ebonyreel/document"
+	controlv1 "ebonyreel/proto/control/v1"
+)
+
+const (
+	// MemberLease is how long a member counts after its last announcement.
+	MemberLease = 3 * time.Second
+	// progressInterval is the time between progress marks on an idle watch.
+	progressInterval = time.Second
+)
+
+// Server answers the control service.
+type Server struct {
+	// store holds the state and applies commands to it.
+	store *Store
+}
+
+// NewServer returns a server over a store.
+func NewServer(s *Store) *Server {
+	return &Server{store: s}
+}
+
+// Submit checks and resolves a document, and accepts it if its number is new.
+func (s *Server) Submit(ctx context.Context, r *connect.Request[controlv1.SubmitRequest]) (*connect.Response[controlv1.SubmitResponse], error) {
+	d, err := resolve(r.Msg)
+	if err != nil {
+		return nil, refuse(err)
+	}
+	res, err := s.store.Propose(ctx, &controlv1.Command{Kind: &controlv1.Command_Accept{Accept: d}})
+	if err != nil {
+		return nil, refuse(err)
+	}
+	return connect.NewResponse(res.(*controlv1.SubmitResponse)), nil
+}
+
+// resolve fills in a submitted document's defaults and computes its digest.
+func resolve(r *controlv1.SubmitRequest) (*controlv1.Document, error) {
+	d, err := document.Parse(r.GetDocument())
+	if err != nil {
+		return nil, err
+	}
+	b, digest, err := d.Resolved()
+	if err != nil {
+		return nil, err
+	}
+	return &controlv1.Document{
+		Environment: r.GetEnvironment(),
+		Number:      d.Number,
+		Digest:      digest,
+		Resolved:    b,
+		Submitter:   r.GetSubmitter(),
+	}, nil
+}
+
+// Approve records that a document was approved.
+func (s *Server) Approve(ctx context.Context, r *connect.Request[controlv1.ApproveRequest]) (*connect.Response[controlv1.ApproveResponse], error) {
+	res, err := s.store.Propose(ctx, &controlv1.Command{Kind: &controlv1.Command_Approve{Approve: r.Msg}})
+	if err != nil {
+		return nil, refuse(err)
+	}
+	return connect.NewResponse(res.(*controlv1.ApproveResponse)), nil
+}
+
+// Promote accepts an approved document's bytes in another environment.
+func (s *Server) Promote(ctx context.Context, r *connect.Request[controlv1.PromoteRequest]) (*connect.Response[controlv1.PromoteResponse], error) {
+	res, err := s.store.Propose(ctx, &controlv1.Command{Kind: &controlv1.Command_Promote{Promote: r.Msg}})
+	if err != nil {
+		return nil, refuse(err)
+	}
+	return connect.NewResponse(res.(*controlv1.PromoteResponse)), nil
+}
+
+// History returns the accepted documents of an environment, oldest first.
+func (s *Server) History(ctx context.Context, r *connect.Request[controlv1.HistoryRequest]) (*connect.Response[controlv1.HistoryResponse], error) {
+	if err := s.store.Confirm(ctx); err != nil {
+		return nil, refuse(err)
+	}
+	return connect.NewResponse(&controlv1.HistoryResponse{Documents: s.store.Documents(r.Msg.GetEnvironment())}), nil
+}
+
+// List returns the items under a prefix at one revision, after a quorum has
+// confirmed that the state is current.
+func (s *Server) List(ctx context.Context, r *connect.Request[controlv1.ListRequest]) (*connect.Response[controlv1.ListResponse], error) {
+	if err := s.store.Confirm(ctx); err != nil {
+		return nil, refuse(err)
+	}
+	items, rev := s.store.List(r.Msg.GetPrefix())
+	return connect.NewResponse(&controlv1.ListResponse{Revision: rev, Items: items}), nil
+}
+
+// Watch streams the events under a prefix from a revision on, and a progress
+// mark at least once each progressInterval.
+func (s *Server) Watch(ctx context.Context, r *connect.Request[controlv1.WatchRequest], out *connect.ServerStream[controlv1.WatchResponse]) error {
+	next := r.Msg.GetFromRevision()
+	tick := time.NewTicker(progressInterval)
+	defer tick.Stop()
+	for {
+		changed := s.store.Changed()
+		events, rev, err := s.store.Since(r.Msg.GetPrefix(), next)
+		if err != nil {
+			return refuse(err)
+		}
+		if err := out.Send(&controlv1.WatchResponse{Events: events, Revision: rev}); err != nil {
+			return err
+		}
+		next = rev + 1
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.store.Done():
+			return refuse(&ClosedError{})
+		case <-changed:
+		case <-tick.C:
+		}
+	}
+}
+
+// Announce adds a member or renews its lease.
+func (s *Server) Announce(ctx context.Context, r *connect.Request[controlv1.AnnounceRequest]) (*connect.Response[controlv1.AnnounceResponse], error) {
+	res, err := s.store.Announce(ctx, r.Msg.GetMember())
+	if err != nil {
+		return nil, refuse(err)
+	}
+	res.Lease = durationpb.New(MemberLease)
+	return connect.NewResponse(res), nil
+}
+
+// Leave marks a member as leaving, or removes it.
+func (s *Server) Leave(ctx context.Context, r *connect.Request[controlv1.LeaveRequest]) (*connect.Response[controlv1.LeaveResponse], error) {
+	if _, err := s.store.Propose(ctx, &controlv1.Command{Kind: &controlv1.Command_Leave{Leave: r.Msg}}); err != nil {
+		return nil, refuse(err)
+	}
+	return connect.NewResponse(&controlv1.LeaveResponse{}), nil
+}
+
+// BeginOperation records a non-idempotent call before its dispatch.
+func (s *Server) BeginOperation(ctx context.Context, r *connect.Request[controlv1.BeginOperationRequest]) (*connect.Response[controlv1.BeginOperationResponse], error) {
+	res, err := s.store.Propose(ctx, &controlv1.Command{Kind: &controlv1.Command_Begin{Begin: r.Msg.GetOperation()}})
+	if err != nil {
+		return nil, refuse(err)
+	}
+	return connect.NewResponse(res.(*controlv1.BeginOperationResponse)), nil
+}
+
+// FinishOperation records the outcome of a dispatched call.
+func (s *Server) FinishOperation(ctx context.Context, r *connect.Request[controlv1.FinishOperationRequest]) (*connect.Response[controlv1.FinishOperationResponse], error) {
+	res, err := s.store.Propose(ctx, &controlv1.Command{Kind: &controlv1.Command_Finish{Finish: r.Msg.GetOperation()}})
+	if err != nil {
+		return nil, refuse(err)
+	}
+	return connect.NewResponse(res.(*controlv1.FinishOperationResponse)), nil
+}
+
+// AddStrikes counts a crash against each content that was in flight.
+func (s *Server) AddStrikes(ctx context.Context, r *connect.Request[controlv1.AddStrikesRequest]) (*connect.Response[controlv1.AddStrikesResponse], error) {
+	res, err := s.store.Propose(ctx, &controlv1.Command{Kind: &controlv1.Command_AddStrikes{AddStrikes: r.Msg}})
+	if err != nil {
+		return nil, refuse(err)
+	}
+	return connect.NewResponse(res.(*controlv1.AddStrikesResponse)), nil
+}
--- /dev/null
+++ b/controls/announcer.go
@@ -0,0 +1,151 @@
+package controls
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	controlv1 "ebonyreel/proto/control/v1"
+)
+
+const (
+	// announceInterval is the time between renewals.
+	announceInterval = time.Second
+	// catchUp is how long a process may lag behind the newest document before
+	// it stops taking new work.
+	catchUp = time.Second
+)
+
+// BackwardsError reports a list that is older than what was seen before.
+type BackwardsError struct {
+	Seen uint64
+	Got  uint64
+}
+
+// Error names both revisions.
+func (e *BackwardsError) Error() string {
+	return fmt.Sprintf("control answered with revision %d after %d", e.Got, e.Seen)
+}
+
+// Announcer keeps a process a member and holds its lease.
+type Announcer struct {
+	client *Client
+	view   *View
+	log    *logrus.Entry
+
+	mu sync.Mutex
+	// member is what is announced; its incarnation is zero before joining.
+	member *controlv1.Member
+	// until is the end of the lease, counted from before it was asked for.
+	until time.Time
+	// behindSince is when the view was first seen behind the newest document;
+	// it is zero while the view is current.
+	behindSince time.Time
+	// wake asks for a renewal at once.
+	wake chan struct{}
+}
+
+// NewAnnouncer returns an announcer for a member that has not joined.
+func NewAnnouncer(c *Client, v *View, m *controlv1.Member, log *logrus.Entry) *Announcer {
+	return &Announcer{client: c, view: v, member: m, log: log, wake: make(chan struct{}, 1)}
+}
+
+// Run renews the lease until the context ends.
+func (a *Announcer) Run(ctx context.Context) {
+	t := time.NewTicker(announceInterval)
+	defer t.Stop()
+	for {
+		a.renew(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-a.wake:
+		}
+	}
+}
+
+func (a *Announcer) renew(ctx context.Context) {
+	m := a.Member()
+	var number uint64
+	if d := a.view.Document(); d != nil {
+		number = d.Number
+	}
+	asked := time.Now()
+	res, err := a.client.Announce(ctx, &controlv1.AnnounceRequest{Member: m, DocumentNumber: number})
+	if err != nil {
+		a.failed(err)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.member.Incarnation = res.GetIncarnation()
+	a.until = asked.Add(res.GetLease().AsDuration())
+	switch {
+	case number >= res.GetDocumentNumber():
+		a.behindSince = time.Time{}
+	case a.behindSince.IsZero():
+		a.behindSince = time.Now()
+	}
+}
+
+// failed logs a failed renewal. A stale incarnation asks for a new one.
+func (a *Announcer) failed(err error) {
+	a.log.WithError(err).Warn("announce failed")
+	if Reason(err).GetCode() != controlv1.Refusal_CODE_STALE {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.member.Incarnation = 0
+	a.until = time.Time{}
+}
+
+// Member returns a copy of what is announced.
+func (a *Announcer) Member() *controlv1.Member {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return proto.CloneOf(a.member)
+}
+
+// Update changes what is announced, and announces it at once.
+func (a *Announcer) Update(change func(m *controlv1.Member)) {
+	a.mu.Lock()
+	change(a.member)
+	a.mu.Unlock()
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Incarnation returns the allotted incarnation; zero before joining.
+func (a *Announcer) Incarnation() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.member.GetIncarnation()
+}
+
+// Current reports whether the process may take new work: its lease runs and
+// the document that it serves is the newest one.
+func (a *Announcer) Current(now time.Time) bool {
+	if a.view.Document() == nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	behind := !a.behindSince.IsZero() && now.Sub(a.behindSince) > catchUp
+	return now.Before(a.until) && !behind
+}
+
+// Leave marks the member as leaving, or removes it once it is gone.
+func (a *Announcer) Leave(ctx context.Context, gone bool) error {
+	m := a.Member()
+	return a.client.Leave(ctx, &controlv1.LeaveRequest{
+		Environment: m.GetEnvironment(), Name: m.GetName(), Incarnation: m.GetIncarnation(), Gone: gone,
+	})
+}
--- /dev/null
+++ b/controls/client.go
@@ -0,0 +1,245 @@
+// Package controls is the side of every other process towards control: calls
+// with failover between the control hosts, a local view kept by list and
+// watch, and the announcement that renews the process's lease.
+package controls
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/joomcode/errorx"
+
+	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/proto/control/v1/controlv1connect"
+	"ebonyreel/transport"
+)
+
+const (
+	// callTimeout bounds one try at one control host.
+	callTimeout = 2 * time.Second
+	// rounds is how often the list of control hosts is tried.
+	rounds = 3
+	// roundPause is the time between two rounds.
+	roundPause = 100 * time.Millisecond
+)
+
+// Client calls control. It is safe for concurrent use.
+type Client struct {
+	// peers has one client for each control host.
+	peers []controlv1connect.ControlServiceClient
+	// at is the index of the host that answered last.
+	at atomic.Int64
+}
+
+// NewClient returns a client for a list of control hosts.
+func NewClient(h *http.Client, addresses []netip.AddrPort, opts ...connect.ClientOption) *Client {
+	c := &Client{}
+	for _, a := range addresses {
+		c.peers = append(c.peers, controlv1connect.NewControlServiceClient(h, transport.URL(a), opts...))
+	}
+	return c
+}
+
+// step is one try of a call at one control host.
+type step func(ctx context.Context, p controlv1connect.ControlServiceClient) error
+
+// each tries a call at the control hosts in turn until one gives an answer
+// that another would give as well. Every call of the service may be repeated.
+func (c *Client) each(ctx context.Context, s step) error {
+	var last error
+	for r := range rounds {
+		if r > 0 && !pause(ctx, roundPause) {
+			break
+		}
+		for range c.peers {
+			at := int(c.at.Load()) % len(c.peers)
+			err := try(ctx, c.peers[at], s)
+			if err == nil || !elsewhere(err) {
+				return err
+			}
+			last = err
+			c.at.CompareAndSwap(int64(at), int64((at+1)%len(c.peers)))
+		}
+	}
+	return errorx.Decorate(last, "no control host answered")
+}
+
+func try(ctx context.Context, p controlv1connect.ControlServiceClient, s step) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s(ctx, p)
+}
+
+// elsewhere reports whether another control host may answer.
+func elsewhere(err error) bool {
+	switch connect.CodeOf(err) {
+	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeUnknown, connect.CodeInternal, connect.CodeAborted:
+		return true
+	}
+	return false
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// Reason returns the typed refusal that an error of control carries, or nil.
+func Reason(err error) *controlv1.Refusal {
+	var ce *connect.Error
+	if !errors.As(err, &ce) {
+		return nil
+	}
+	for _, d := range ce.Details() {
+		v, e := d.Value()
+		if r, ok := v.(*controlv1.Refusal); e == nil && ok {
+			return r
+		}
+	}
+	return nil
+}
+
+// Submit submits a document.
+func (c *Client) Submit(ctx context.Context, r *controlv1.SubmitRequest) (*controlv1.SubmitResponse, error) {
+	var out *controlv1.SubmitResponse
+	err := c.each(ctx, func(ctx context.Context, p controlv1connect.ControlServiceClient) error {
+		res, err := p.Submit(ctx, connect.NewRequest(r))
+		if err != nil {
+			return err
+		}
+		out = res.Msg
+		return nil
+	})
+	return out, err
+}
+
+// Approve records an approval.
+func (c *Client) Approve(ctx context.Context, r *controlv1.ApproveRequest) (*controlv1.ApproveResponse, error) {
+	var out *controlv1.ApproveResponse
+	err := c.each(ctx, func(ctx context.Context, p controlv1connect.ControlServiceClient) error {
+		res, err := p.Approve(ctx, connect.NewRequest(r))
+		if err != nil {
+			return err
+		}
+		out = res.Msg
+		return nil
+	})
+	return out, err
+}
+
+// Promote moves an approved document to another environment.
+func (c *Client) Promote(ctx context.Context, r *controlv1.PromoteRequest) (*controlv1.PromoteResponse, error) {
+	var out *controlv1.PromoteResponse
+	err := c.each(ctx, func(ctx context.Context, p controlv1connect.ControlServiceClient) error {
+		res, err := p.Promote(ctx, connect.NewRequest(r))
+		if err != nil {
+			return err
+		}
+		out = res.Msg
+		return nil
+	})
+	return out, err
+}
+
+// History returns the accepted documents of an environment, oldest first.
+func (c *Client) History(ctx context.Context, environment string) ([]*controlv1.Document, error) {
+	var out []*controlv1.Document
+	err := c.each(ctx, func(ctx context.Context, p controlv1connect.ControlServiceClient) error {
+		res, err := p.History(ctx, connect.NewRequest(&controlv1.HistoryRequest{Environment: environment}))
+		if err != nil {
+			return err
+		}
+		out = res.Msg.GetDocuments()
+		return nil
+	})
+	return out, err
+}
+
+// List returns the items under a prefix at one revision.
+func (c *Client) List(ctx context.Context, prefix string) (*controlv1.ListResponse, error) {
+	var out *controlv1.ListResponse
+	err := c.each(ctx, func(ctx context.Context, p controlv1connect.ControlServiceClient) error {
+		res, err := p.List(ctx, connect.NewRequest(&controlv1.ListRequest{Prefix: prefix}))
+		if err != nil {
+			return err
+		}
+		out = res.Msg
+		return nil
+	})
+	return out, err
+}
+
+// Announce joins or renews a member.
+func (c *Client) Announce(ctx context.Context, r *controlv1.AnnounceRequest) (*controlv1.AnnounceResponse, error) {
+	var out *controlv1.AnnounceResponse
+	err := c.each(ctx, func(ctx context.Context, p controlv1connect.ControlServiceClient) error {
+		res, err := p.Announce(ctx, connect.NewRequest(r))
+		if err != nil {
+			return err
+		}
+		out = res.Msg
+		return nil
+	})
+	return out, err
+}
+
+// Leave marks a member as leaving, or removes it.
+func (c *Client) Leave(ctx context.Context, r *controlv1.LeaveRequest) error {
+	return c.each(ctx, func(ctx context.Context, p controlv1connect.ControlServiceClient) error {
+		_, err := p.Leave(ctx, connect.NewRequest(r))
+		return err
+	})
+}
+
+// BeginOperation records a non-idempotent call before its dispatch.
+func (c *Client) BeginOperation(ctx context.Context, o *controlv1.Operation) (*controlv1.BeginOperationResponse, error) {
+	var out *controlv1.BeginOperationResponse
+	err := c.each(ctx, func(ctx context.Context, p controlv1connect.ControlServiceClient) error {
+		res, err := p.BeginOperation(ctx, connect.NewRequest(&controlv1.BeginOperationRequest{Operation: o}))
+		if err != nil {
+			return err
+		}
+		out = res.Msg
+		return nil
+	})
+	return out, err
+}
+
+// FinishOperation records the outcome of a dispatched call.
+func (c *Client) FinishOperation(ctx context.Context, o *controlv1.Operation) (*controlv1.Operation, error) {
+	var out *controlv1.Operation
+	err := c.each(ctx, func(ctx context.Context, p controlv1connect.ControlServiceClient) error {
+		res, err := p.FinishOperation(ctx, connect.NewRequest(&controlv1.FinishOperationRequest{Operation: o}))
+		if err != nil {
+			return err
+		}
+		out = res.Msg.GetOperation()
+		return nil
+	})
+	return out, err
+}
+
+// AddStrikes counts a crash against each content that was in flight.
+func (c *Client) AddStrikes(ctx context.Context, r *controlv1.AddStrikesRequest) ([]*controlv1.Strikes, error) {
+	var out []*controlv1.Strikes
+	err := c.each(ctx, func(ctx context.Context, p controlv1connect.ControlServiceClient) error {
+		res, err := p.AddStrikes(ctx, connect.NewRequest(r))
+		if err != nil {
+			return err
+		}
+		out = res.Msg.GetStrikes()
+		return nil
+	})
+	return out, err
+}
--- /dev/null
+++ b/controls/view.go
@@ -0,0 +1,253 @@
+package controls
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	"ebonyreel/document"
+	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/proto/control/v1/controlv1connect"
+)
+
+const (
+	// silence is how long a watch may bring nothing, not even a progress
+	// mark, before it is given up.
+	silence = 3 * time.Second
+	// relistSpread is the widest pause before a relist; pauses are random so
+	// that processes do not all list at once after a failover.
+	relistSpread = 500 * time.Millisecond
+)
+
+// Pool names the members that serve one model or service in one role.
+type Pool struct {
+	Serves string
+	Role   controlv1.Role
+}
+
+// View is a local copy of one environment's part of the state. It is safe for
+// concurrent use; what it returns must not be changed.
+type View struct {
+	// environment is the prefix of the keys that are followed.
+	environment string
+	client      *Client
+	log         *logrus.Entry
+
+	mu sync.RWMutex
+	// revision is that of the last change applied; it never goes back.
+	revision uint64
+	// document is nil until the first one is known; its number only grows.
+	document *document.Document
+	digest   string
+	members  map[string]*controlv1.Member
+	// pools indexes the members that take new work.
+	pools   map[Pool][]*controlv1.Member
+	strikes map[string]uint32
+	// changed is closed with each change.
+	changed chan struct{}
+}
+
+// NewView returns an empty view of an environment.
+func NewView(c *Client, environment string, log *logrus.Entry) *View {
+	return &View{
+		environment: environment,
+		client:      c,
+		log:         log,
+		members:     map[string]*controlv1.Member{},
+		pools:       map[Pool][]*controlv1.Member{},
+		strikes:     map[string]uint32{},
+		changed:     make(chan struct{}),
+	}
+}
+
+// Run follows control until the context ends: a list at revision R, then a
+// watch from R+1, and a new list when the events in between are gone.
+func (v *View) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := v.list(ctx); err != nil {
+			v.log.WithError(err).Warn("list failed")
+			pause(ctx, rand.N(relistSpread))
+			continue
+		}
+		v.follow(ctx)
+	}
+}
+
+// follow watches until the history is compacted or the context ends.
+func (v *View) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := v.watch(ctx)
+		if Reason(err).GetCode() == controlv1.Refusal_CODE_COMPACTED {
+			pause(ctx, rand.N(relistSpread))
+			return
+		}
+		v.client.at.Add(1)
+		pause(ctx, rand.N(roundPause))
+	}
+}
+
+func (v *View) list(ctx context.Context) error {
+	res, err := v.client.List(ctx, v.environment+"/")
+	if err != nil {
+		return err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if res.GetRevision() < v.revision {
+		return &BackwardsError{Seen: v.revision, Got: res.GetRevision()}
+	}
+	clear(v.members)
+	clear(v.strikes)
+	for _, it := range res.GetItems() {
+		v.put(it)
+	}
+	v.settle(res.GetRevision())
+	return nil
+}
+
+// watch reads one stream of events until it ends or falls silent.
+func (v *View) watch(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	quiet := time.AfterFunc(silence, cancel)
+	defer quiet.Stop()
+	p := v.client.peers[int(v.client.at.Load())%len(v.client.peers)]
+	s, err := v.open(ctx, p)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = s.Close() }()
+	for s.Receive() {
+		quiet.Reset(silence)
+		v.apply(s.Msg())
+	}
+	return s.Err()
+}
+
+func (v *View) open(ctx context.Context, p controlv1connect.ControlServiceClient) (*connect.ServerStreamForClient[controlv1.WatchResponse], error) {
+	r := &controlv1.WatchRequest{Prefix: v.environment + "/", FromRevision: v.Revision() + 1}
+	return p.Watch(ctx, connect.NewRequest(r))
+}
+
+// apply takes in the events of one message. Events at or below the revision
+// seen are dropped.
+func (v *View) apply(m *controlv1.WatchResponse) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if m.GetRevision() <= v.revision {
+		return
+	}
+	for _, e := range m.GetEvents() {
+		if e.GetRevision() <= v.revision {
+			continue
+		}
+		if e.GetItem() == nil {
+			v.remove(e.GetKey())
+			continue
+		}
+		v.put(e.GetItem())
+	}
+	if len(m.GetEvents()) == 0 {
+		v.revision = m.GetRevision()
+		return
+	}
+	v.settle(m.GetRevision())
+}
+
+func (v *View) put(it *controlv1.Item) {
+	switch k := it.GetValue().(type) {
+	case *controlv1.Item_Document:
+		v.adopt(k.Document)
+	case *controlv1.Item_Member:
+		v.members[it.GetKey()] = k.Member
+	case *controlv1.Item_Strikes:
+		v.strikes[k.Strikes.GetContentDigest()] = k.Strikes.GetCount()
+	}
+}
+
+// adopt takes a document unless one with a higher number is in force.
+func (v *View) adopt(d *controlv1.Document) {
+	if v.document != nil && d.GetNumber() <= v.document.Number {
+		return
+	}
+	parsed, err := document.Parse(d.GetResolved())
+	if err != nil {
+		v.log.WithError(err).WithField("Number", d.GetNumber()).Error("document not understood")
+		return
+	}
+	v.document, v.digest = parsed, d.GetDigest()
+	v.log.WithFields(logrus.Fields{"Number": d.GetNumber(), "Digest": d.GetDigest()}).Info("document in force")
+}
+
+func (v *View) remove(key string) {
+	delete(v.members, key)
+	if digest, ok := strings.CutPrefix(key, v.environment+"/Strikes/"); ok {
+		delete(v.strikes, digest)
+	}
+}
+
+// settle rebuilds the index and wakes those who wait for a change.
+func (v *View) settle(revision uint64) {
+	v.revision = revision
+	v.pools = map[Pool][]*controlv1.Member{}
+	for _, m := range v.members {
+		if m.GetState() != controlv1.MemberState_MEMBER_STATE_SERVING {
+			continue
+		}
+		p := Pool{Serves: m.GetServes(), Role: m.GetRole()}
+		v.pools[p] = append(v.pools[p], m)
+	}
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// Revision returns the revision of the last change applied.
+func (v *View) Revision() uint64 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.revision
+}
+
+// Document returns the document in force, or nil before the first one.
+func (v *View) Document() *document.Document {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.document
+}
+
+// Members returns the members of a pool that take new work, in no order.
+func (v *View) Members(p Pool) []*controlv1.Member {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.pools[p]
+}
+
+// All returns every member, in no order.
+func (v *View) All() []*controlv1.Member {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	out := make([]*controlv1.Member, 0, len(v.members))
+	for _, m := range v.members {
+		out = append(out, m)
+	}
+	return out
+}
+
+// Strikes returns how many crashes a content was part of.
+func (v *View) Strikes(digest string) uint32 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.strikes[digest]
+}
+
+// Changed returns a channel that is closed with the next change.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.changed
+}
--- /dev/null
+++ b/document/check.go
@@ -0,0 +1,150 @@
+package document
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	maxName        = 64
+	maxPriority    = 9
+	keyHashBytes   = 32
+	maxConcurrency = 1_000_000
+)
+
+// checker collects faults.
+type checker struct {
+	// faults is in the order in which the fields were read.
+	faults []Fault
+}
+
+func (c *checker) add(field string, value any, expected string) {
+	c.faults = append(c.faults, Fault{Field: field, Value: fmt.Sprintf("%v", value), Expected: expected})
+}
+
+func (c *checker) name(field, v string) {
+	ok := v != "" && len(v) <= maxName
+	for _, r := range v {
+		ok = ok && (r == '-' || r == '_' || r == '.' || r >= '0' && r <= '9' || r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z')
+	}
+	if !ok {
+		c.add(field, fmt.Sprintf("%q", v), "1 to 64 letters, digits, dots, dashes and underscores")
+	}
+}
+
+func (c *checker) between(field string, v, low, high int) {
+	if v < low || v > high {
+		c.add(field, v, fmt.Sprintf("a number from %d to %d", low, high))
+	}
+}
+
+func (c *checker) positive(field string, v Duration) {
+	if v <= 0 {
+		c.add(field, time.Duration(v), "a duration above zero")
+	}
+}
+
+func (d *Document) check() []Fault {
+	c := &checker{}
+	if d.Number == 0 {
+		c.add("Number", d.Number, "a number from 1")
+	}
+	if d.Level > Level {
+		c.add("Level", d.Level, fmt.Sprintf("at most %d, the level of this build", Level))
+	}
+	served := map[string]string{}
+	for i, m := range d.Models {
+		m.check(c, fmt.Sprintf("Models[%d]", i))
+		c.unique(served, m.Name, fmt.Sprintf("Models[%d].Name", i))
+	}
+	for i, s := range d.Services {
+		s.check(c, fmt.Sprintf("Services[%d]", i))
+		c.unique(served, s.Name, fmt.Sprintf("Services[%d].Name", i))
+	}
+	names, keys := map[string]string{}, map[string]string{}
+	for i, a := range d.Callers {
+		a.check(c, fmt.Sprintf("Callers[%d]", i), d)
+		c.unique(names, a.Name, fmt.Sprintf("Callers[%d].Name", i))
+		c.unique(keys, a.KeyHash, fmt.Sprintf("Callers[%d].KeyHash", i))
+	}
+	c.positive("Retention.Operations", d.Retention.Operations)
+	c.positive("Retention.Strikes", d.Retention.Strikes)
+	c.between("Retention.OperationsKept", d.Retention.OperationsKept, 1, 10_000_000)
+	c.between("Retention.Documents", d.Retention.Documents, 1, 100_000)
+	return c.faults
+}
+
+func (c *checker) unique(seen map[string]string, v, field string) {
+	if first, ok := seen[v]; ok {
+		c.add(field, fmt.Sprintf("%q", v), "a value other than that of "+first)
+		return
+	}
+	seen[v] = field
+}
+
+func (m Model) check(c *checker, at string) {
+	c.name(at+".Name", m.Name)
+	c.name(at+".Version", m.Version)
+	for i, a := range m.Adapters {
+		c.name(fmt.Sprintf("%s.Adapters[%d]", at, i), a)
+	}
+	c.between(at+".Prefill", m.Prefill, 1, 100_000)
+	c.between(at+".Decode", m.Decode, 1, 100_000)
+	c.between(at+".MaxOutputTokens", m.MaxOutputTokens, 1, 1_000_000)
+	c.between(at+".PieceTokens", m.PieceTokens, 1, 1_000_000)
+	c.between(at+".BytesPerToken", m.BytesPerToken, 1, 100_000_000)
+	c.positive(at+".FirstToken", m.FirstToken)
+	c.positive(at+".BetweenTokens", m.BetweenTokens)
+}
+
+func (s Service) check(c *checker, at string) {
+	c.name(at+".Name", s.Name)
+	c.between(at+".Concurrency", s.Concurrency, 1, maxConcurrency)
+	if len(s.Calls) == 0 {
+		c.add(at+".Calls", "none", "at least one call")
+	}
+	for i, a := range s.Calls {
+		a.check(c, fmt.Sprintf("%s.Calls[%d]", at, i))
+	}
+}
+
+func (a Call) check(c *checker, at string) {
+	switch a.Method {
+	case http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete:
+	default:
+		c.add(at+".Method", fmt.Sprintf("%q", a.Method), "GET, HEAD, POST, PUT, PATCH or DELETE")
+	}
+	if !strings.HasPrefix(a.Path, "/") {
+		c.add(at+".Path", fmt.Sprintf("%q", a.Path), "a path that starts with a slash")
+	}
+	c.positive(at+".Timeout", a.Timeout)
+}
+
+func (a Caller) check(c *checker, at string, d *Document) {
+	c.name(at+".Name", a.Name)
+	if b, err := hex.DecodeString(a.KeyHash); err != nil || len(b) != keyHashBytes {
+		c.add(at+".KeyHash", fmt.Sprintf("%d characters", len(a.KeyHash)), "64 hexadecimal digits, the SHA-256 of the key")
+	}
+	for i, v := range a.Models {
+		if _, ok := d.Model(v); !ok {
+			c.add(fmt.Sprintf("%s.Models[%d]", at, i), fmt.Sprintf("%q", v), "the name of a model of this document")
+		}
+	}
+	for i, v := range a.Services {
+		if _, ok := d.Service(v); !ok {
+			c.add(fmt.Sprintf("%s.Services[%d]", at, i), fmt.Sprintf("%q", v), "the name of a service of this document")
+		}
+	}
+	c.between(at+".Priority", a.Priority, 0, maxPriority)
+	c.between(at+".Burst", a.Burst, 1, maxConcurrency)
+	c.between(at+".Concurrency", a.Concurrency, 1, maxConcurrency)
+	if a.RatePerSecond < 0 {
+		c.add(at+".RatePerSecond", a.RatePerSecond, "a number above zero")
+	}
+	if a.Patience < 0 {
+		c.add(at+".Patience", time.Duration(a.Patience), "zero or a duration above it")
+	}
+}
--- /dev/null
+++ b/entry/generation.go
@@ -0,0 +1,305 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"ebonyreel/agents"
+	"ebonyreel/attempt"
+	"ebonyreel/callers"
+	"ebonyreel/controls"
+	"ebonyreel/document"
+	"ebonyreel/placement"
+	agentv1 "ebonyreel/proto/agent/v1"
+	controlv1 "ebonyreel/proto/control/v1"
+)
+
+const (
+	// bytesPerToken is the usual length of a token in a prompt.
+	bytesPerToken = 4
+	// prefixBytes is the part of a prompt that chooses its prefill endpoint.
+	prefixBytes = 2048
+	// tokenSilence is how long a stream of tokens may bring nothing, not even
+	// a heartbeat.
+	tokenSilence = 3 * time.Second
+	// prefillTimeout bounds one prefill, its wait in the queue included.
+	prefillTimeout = 30 * time.Second
+)
+
+// generation is one completion call on its way.
+type generation struct {
+	visit *visit
+	call  callers.Completion
+	model document.Model
+	// promptTokens is an estimate from the prompt's length.
+	promptTokens int
+	maxTokens    int
+	answer       *callers.Answer
+	progress     attempt.Progress
+	// number is that of the current attempt; it starts at one.
+	number uint32
+	digest string
+	// deadline is when the caller's patience ends; zero means never.
+	deadline time.Time
+}
+
+func newGeneration(v *visit, c callers.Completion, m document.Model) *generation {
+	g := &generation{
+		visit:        v,
+		call:         c,
+		model:        m,
+		promptTokens: len(c.Prompt)/bytesPerToken + 1,
+		maxTokens:    m.MaxOutputTokens,
+		answer:       callers.NewAnswer(v.writer, c, v.id),
+		digest:       document.Digest([]byte(v.caller.Name + "\x00" + c.Model + "\x00" + c.Prompt)),
+	}
+	if c.MaxTokens > 0 {
+		g.maxTokens = min(c.MaxTokens, m.MaxOutputTokens)
+	}
+	if p := time.Duration(v.caller.Patience); p > 0 {
+		g.deadline = time.Now().Add(p)
+	}
+	return g
+}
+
+func (g *generation) attempt(entry string) *agentv1.Attempt {
+	return &agentv1.Attempt{Request: g.visit.id, Number: g.number, Entry: entry}
+}
+
+// failure is a try that failed.
+type failure struct {
+	kind       attempt.Failure
+	retryAfter time.Duration
+	cause      error
+}
+
+// Error gives the cause.
+func (f *failure) Error() string {
+	return f.cause.Error()
+}
+
+// run tries a generation until it is answered, refused or given up by its
+// caller.
+func (s *Server) run(ctx context.Context, g *generation) {
+	for {
+		g.number++
+		err := s.try(ctx, g)
+		if err == nil {
+			s.counts.Completed.Add(1)
+			return
+		}
+		if ctx.Err() != nil {
+			g.visit.log.WithError(err).Info("caller is gone")
+			return
+		}
+		f := failureOf(err)
+		d := g.progress.Fail(f.kind, f.retryAfter, s.retries.Allow())
+		g.visit.log.WithError(err).WithField("Attempt", g.number).Warn("try failed")
+		if d.Strike {
+			s.strike(ctx, g)
+		}
+		if d.Action != attempt.Retry {
+			s.giveUp(g, d, err)
+			return
+		}
+		s.counts.Retried.Add(1)
+	}
+}
+
+// giveUp ends a generation with its final answer, at once.
+func (s *Server) giveUp(g *generation, d attempt.Decision, err error) {
+	r := &callers.RefusalError{Code: callers.NotRun, Message: err.Error(), RetryAfter: d.RetryAfter}
+	if d.Action == attempt.Break {
+		r.Code = callers.Broken
+	}
+	s.counts.refused(r.Code)
+	g.answer.Refuse(r)
+}
+
+// strike counts a crash against the content, so that every entry knows.
+func (s *Server) strike(ctx context.Context, g *generation) {
+	_, err := s.client.AddStrikes(ctx, &controlv1.AddStrikesRequest{
+		Environment: s.announcer.Member().GetEnvironment(), ContentDigests: []string{g.digest},
+	})
+	if err != nil {
+		g.visit.log.WithError(err).Warn("strike not recorded")
+	}
+}
+
+// failureOf classifies an error of a try.
+func failureOf(err error) *failure {
+	var f *failure
+	if errors.As(err, &f) {
+		return f
+	}
+	var r *agents.RefusalError
+	if !errors.As(agents.Received(err), &r) {
+		return &failure{kind: attempt.Lost, cause: err}
+	}
+	kinds := map[agentv1.Refusal_Code]attempt.Failure{
+		agentv1.Refusal_CODE_NOT_RUN:          attempt.NotRun,
+		agentv1.Refusal_CODE_STALE:            attempt.NotRun,
+		agentv1.Refusal_CODE_ENDPOINT_CRASHED: attempt.Crashed,
+		agentv1.Refusal_CODE_KV_GONE:          attempt.KvGone,
+	}
+	k, ok := kinds[r.Code]
+	if !ok {
+		k = attempt.Lost
+	}
+	return &failure{kind: k, retryAfter: r.RetryAfter, cause: r}
+}
+
+// try makes one attempt: memory is promised first, then the prompt is
+// computed, then the answer is decoded where the memory is.
+func (s *Server) try(ctx context.Context, g *generation) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	at := g.attempt(s.name)
+	held, err := s.reserve(ctx, g, at)
+	if err != nil {
+		return err
+	}
+	defer held.peer.Track(at)()
+	kv, prefiller, err := s.prefill(ctx, g, at)
+	if err != nil {
+		s.agents.Release(held.peer, at)
+		return err
+	}
+	imported, err := s.decode(ctx, g, at, held, kv)
+	if !imported {
+		s.counts.Wasted.Add(1)
+		s.agents.Release(prefiller, at)
+	}
+	if err != nil {
+		s.agents.Release(held.peer, at)
+	}
+	return err
+}
+
+// loads shows a pool of members to the placement policy.
+type loads struct {
+	members []*controlv1.Member
+	agents  *agents.Pool
+}
+
+// Len is the number of members.
+func (l loads) Len() int {
+	return len(l.members)
+}
+
+// Load returns the newest load known of one member.
+func (l loads) Load(i int) placement.Load {
+	k := l.agents.Load(l.members[i])
+	return placement.Load{
+		PiecesFree: k.PiecesFree, Running: k.Running, Queued: k.Queued, Wait: k.Wait, Known: !k.At.IsZero(),
+	}
+}
+
+func (s *Server) pool(g *generation, role controlv1.Role) loads {
+	return loads{members: s.view.Members(controls.Pool{Serves: g.model.Name, Role: role}), agents: s.agents}
+}
+
+// prefill computes the prompt on the endpoint that the policy prefers.
+func (s *Server) prefill(ctx context.Context, g *generation, at *agentv1.Attempt) (*agentv1.KvHandle, *agents.Peer, error) {
+	c := s.pool(g, controlv1.Role_ROLE_PREFILL)
+	i := s.policy.Prefill(c, placement.Prefix(g.call.Prompt, prefixBytes))
+	if i < 0 {
+		return nil, nil, none("prefill", g.model.Name)
+	}
+	p, err := s.agents.Peer(c.members[i])
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
+	defer cancel()
+	s.counts.Prefills.Add(1)
+	res, err := p.Client.Prefill(ctx, connect.NewRequest(&agentv1.PrefillRequest{
+		Attempt:        at,
+		Model:          g.model.Name,
+		Adapter:        g.call.Adapter,
+		Prompt:         g.call.Prompt,
+		ResumePosition: uint32(g.progress.Sent),
+		Priority:       uint32(g.visit.caller.Priority),
+	}))
+	if err != nil {
+		s.agents.Release(p, at)
+		return nil, p, err
+	}
+	p.Observe(res.Msg.GetLoad())
+	return res.Msg.GetKv(), p, nil
+}
+
+func none(role, model string) error {
+	cause := &callers.RefusalError{Code: callers.NotRun, Message: "no " + role + " endpoint serves " + model}
+	return &failure{kind: attempt.Refused, retryAfter: comeBack, cause: cause}
+}
+
+// decode relays the tokens of one attempt. It reports whether the KV cache was
+// imported, after which the prefill is not wasted.
+func (s *Server) decode(ctx context.Context, g *generation, at *agentv1.Attempt, h held, kv *agentv1.KvHandle) (bool, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	quiet := time.AfterFunc(tokenSilence, cancel)
+	defer quiet.Stop()
+	stream, err := h.peer.Client.Decode(ctx, connect.NewRequest(&agentv1.DecodeRequest{
+		Attempt:      at,
+		Reservation:  h.reservation,
+		Kv:           kv,
+		Model:        g.model.Name,
+		Adapter:      g.call.Adapter,
+		Prompt:       g.call.Prompt,
+		FromPosition: uint32(g.progress.Sent),
+		MaxTokens:    uint32(g.maxTokens),
+		Priority:     uint32(g.visit.caller.Priority),
+	}))
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = stream.Close() }()
+	imported := false
+	for stream.Receive() {
+		quiet.Reset(tokenSilence)
+		m := stream.Msg()
+		imported = imported || m.GetImported()
+		h.peer.Observe(m.GetLoad())
+		ended, err := g.take(m)
+		if ended || err != nil {
+			return imported, err
+		}
+	}
+	if err := stream.Err(); err != nil {
+		return imported, err
+	}
+	return imported, &failure{kind: attempt.Lost, cause: &UnfinishedError{Sent: g.progress.Sent}}
+}
+
+// take relays one message of a decode stream. A token is sent only at its own
+// position, and never by an earlier attempt. It reports the end of the answer.
+func (g *generation) take(m *agentv1.DecodeResponse) (bool, error) {
+	if m.GetAttempt() != g.number || m.GetHeartbeat() || m.GetImported() {
+		return false, nil
+	}
+	if m.GetEnd() {
+		return true, g.answer.End(m.GetFinishReason())
+	}
+	if int(m.GetPosition()) != g.progress.Sent {
+		return false, &failure{kind: attempt.Lost, cause: &PositionError{Expected: g.progress.Sent, Got: int(m.GetPosition())}}
+	}
+	if err := g.answer.Token(m.GetToken()); err != nil {
+		return false, err
+	}
+	g.progress.Sent++
+	return false, nil
+}
+
+// patience is the rest of the caller's patience, or nil without a limit.
+func (g *generation) patience() *durationpb.Duration {
+	if g.deadline.IsZero() {
+		return nil
+	}
+	return durationpb.New(max(time.Until(g.deadline), time.Millisecond))
+}
--- /dev/null
+++ b/entry/reserve.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"ebonyreel/agents"
+	"ebonyreel/attempt"
+	agentv1 "ebonyreel/proto/agent/v1"
+	controlv1 "ebonyreel/proto/control/v1"
+)
+
+// reserveSilence is how long a queue may bring nothing, not even a heartbeat.
+const reserveSilence = 3 * time.Second
+
+// held is a promise of decode memory.
+type held struct {
+	peer        *agents.Peer
+	reservation uint64
+}
+
+// bid is what one agent answered to a request for memory.
+type bid struct {
+	held held
+	err  error
+}
+
+// UnfinishedError reports a stream that ended without its end marker.
+type UnfinishedError struct {
+	// Sent is the number of tokens received.
+	Sent int
+}
+
+// Error says where it ended.
+func (e *UnfinishedError) Error() string {
+	return fmt.Sprintf("stream ended without its end marker after %d tokens", e.Sent)
+}
+
+// PositionError reports a token out of its place.
+type PositionError struct {
+	Expected int
+	Got      int
+}
+
+// Error names both positions.
+func (e *PositionError) Error() string {
+	return fmt.Sprintf("token of position %d came in place of %d", e.Got, e.Expected)
+}
+
+// reserve asks a few agents for memory and binds to the first that grants it.
+// The others are released.
+func (s *Server) reserve(ctx context.Context, g *generation, at *agentv1.Attempt) (held, error) {
+	c := s.pool(g, controlv1.Role_ROLE_DECODE)
+	picked := s.policy.Decode(c)
+	if len(picked) == 0 {
+		return held{}, none("decode", g.model.Name)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	bids := make(chan bid, len(picked))
+	for _, i := range picked {
+		go s.bid(ctx, g, at, c.members[i], bids)
+	}
+	won, err := firstGrant(bids, len(picked))
+	if err == nil {
+		go s.releaseLosers(bids, len(picked), won, at)
+	}
+	return won.held, err
+}
+
+// grantedBid is the first grant, and how many answers were read to get it.
+type grantedBid struct {
+	held held
+	read int
+}
+
+// firstGrant returns the first grant, or the error that promises the most.
+func firstGrant(bids <-chan bid, n int) (grantedBid, error) {
+	var best *failure
+	for i := range n {
+		b := <-bids
+		if b.err == nil {
+			return grantedBid{held: b.held, read: i + 1}, nil
+		}
+		f := failureOf(b.err)
+		if best == nil || f.kind != attempt.Lost && f.retryAfter < best.retryAfter {
+			best = f
+		}
+	}
+	return grantedBid{}, best
+}
+
+// releaseLosers gives back what was granted after the first grant.
+func (s *Server) releaseLosers(bids <-chan bid, n int, won grantedBid, at *agentv1.Attempt) {
+	for range n - won.read {
+		if b := <-bids; b.err == nil {
+			s.agents.Release(b.held.peer, at)
+		}
+	}
+}
+
+// bid waits in one agent's queue for memory.
+func (s *Server) bid(ctx context.Context, g *generation, at *agentv1.Attempt, m *controlv1.Member, bids chan<- bid) {
+	p, err := s.agents.Peer(m)
+	if err != nil {
+		bids <- bid{err: err}
+		return
+	}
+	id, err := s.wait(ctx, g, at, p)
+	bids <- bid{held: held{peer: p, reservation: id}, err: err}
+}
+
+func (s *Server) wait(ctx context.Context, g *generation, at *agentv1.Attempt, p *agents.Peer) (uint64, error) {
+	defer p.Track(at)()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	quiet := time.AfterFunc(reserveSilence, cancel)
+	defer quiet.Stop()
+	stream, err := p.Client.Reserve(ctx, connect.NewRequest(&agentv1.ReserveRequest{
+		Attempt:       at,
+		Model:         g.model.Name,
+		Tokens:        uint32(g.promptTokens + g.maxTokens),
+		Priority:      uint32(g.visit.caller.Priority),
+		Patience:      g.patience(),
+		KvBytes:       uint64(g.promptTokens) * uint64(g.model.BytesPerToken),
+		ContentDigest: g.digest,
+		Isolated:      s.view.Strikes(g.digest) > 0,
+		Caller:        g.visit.caller.Name,
+	}))
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = stream.Close() }()
+	for stream.Receive() {
+		quiet.Reset(reserveSilence)
+		p.Observe(stream.Msg().GetLoad())
+		if stream.Msg().GetGranted() {
+			return stream.Msg().GetReservation(), nil
+		}
+	}
+	if err := stream.Err(); err != nil {
+		return 0, err
+	}
+	return 0, &failure{kind: attempt.Lost, cause: &UnfinishedError{}}
+}
--- /dev/null
+++ b/process/process.go
@@ -0,0 +1,50 @@
+// Package process has what all programs of the system do alike: signals, the
+// operators' address, and their goroutines' common end.
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// shutdownTimeout bounds the closing of idle connections after a drain.
+const shutdownTimeout = 2 * time.Second
+
+// Stopping returns a context that ends with the first SIGTERM or SIGINT, and
+// the function that ends it from within.
+func Stopping() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+// Metrics adds the routes for metrics to a mux.
+func Metrics(m *http.ServeMux, name string, v expvar.Var) {
+	expvar.Publish(name, v)
+	m.Handle("GET /debug/vars", expvar.Handler())
+}
+
+// Shutdown closes servers once their work has ended.
+func Shutdown(log *logrus.Entry, servers ...*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			log.WithError(err).Warn("connections were still open")
+			_ = s.Close()
+		}
+	}
+}
+
+// Print writes a value as indented JSON on standard output.
+func Print(v any) error {
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
--- /dev/null
+++ b/reservation/reservation.go
@@ -0,0 +1,321 @@
+// Package reservation promises the memory of one decode engine to requests
+// before their prefill starts. It is a state machine without a clock: it takes
+// the time and an input, and returns effects.
+package reservation
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// LeaseLength is how long a promise lives after its entry's last renewal.
+	LeaseLength = 3 * time.Second
+	// maxQueued bounds the requests that wait for memory.
+	maxQueued = 4096
+	// firstService is the guess of a request's stay before any has ended.
+	firstService = 2 * time.Second
+	// smoothing is the weight of the newest stay in the running average.
+	smoothing = 0.1
+)
+
+// Attempt names one try of one request.
+type Attempt struct {
+	Request string
+	Number  uint32
+	Entry   string
+}
+
+// Ask is a request for decode memory.
+type Ask struct {
+	Attempt Attempt
+	// Tokens is the prompt and the longest answer together.
+	Tokens int
+	// Priority is higher for work that goes first.
+	Priority int
+	// Deadline is when waiting has no more use; zero means never.
+	Deadline time.Time
+}
+
+// Place says where a request stands.
+type Place struct {
+	// Ahead is the number of requests before it.
+	Ahead int
+	// Wait is the expected time until its grant.
+	Wait time.Duration
+}
+
+// Grant is a promise of memory.
+type Grant struct {
+	Attempt Attempt
+	// ID is unique at this agent.
+	ID uint64
+	// Pieces is the engine memory promised.
+	Pieces int
+}
+
+// Effects is what an input caused.
+type Effects struct {
+	Granted []Grant
+	// Lapsed are granted attempts that ended because nobody renewed them.
+	Lapsed []Attempt
+	// Expired are waiting attempts whose deadline or lease has passed.
+	Expired []Attempt
+}
+
+// Load is the state of the memory.
+type Load struct {
+	PiecesFree  int
+	PiecesTotal int
+	Running     int
+	Queued      int
+	Wait        time.Duration
+}
+
+// request is one that waits or holds.
+type request struct {
+	ask Ask
+	// pieces is at least one.
+	pieces int
+	// id is zero while the request waits.
+	id uint64
+	// order is that of arrival.
+	order uint64
+	// granted is when memory was promised.
+	granted time.Time
+	// until is the end of its lease.
+	until time.Time
+}
+
+// Table is the promises of one engine's memory. It is not safe for concurrent
+// use.
+type Table struct {
+	// pieces and pieceTokens are the size of the memory.
+	pieces      int
+	pieceTokens int
+	// used is the sum of the pieces of all holders; it never exceeds pieces.
+	used int
+	// queue is sorted by priority, then by arrival.
+	queue []*request
+	// holders maps a request to its promise.
+	holders map[string]*request
+	// waiting maps a request to its place in the queue.
+	waiting map[string]*request
+	nextID  uint64
+	order   uint64
+	// stay is the running average of the time between grant and release.
+	stay time.Duration
+	// leaving is true once no new request is taken.
+	leaving bool
+}
+
+// New returns a table for an engine's memory.
+func New(pieces, pieceTokens int) *Table {
+	return &Table{
+		pieces:      pieces,
+		pieceTokens: pieceTokens,
+		holders:     map[string]*request{},
+		waiting:     map[string]*request{},
+		stay:        firstService,
+	}
+}
+
+// Leave makes the table refuse new requests; those that wait stay.
+func (t *Table) Leave() {
+	t.leaving = true
+}
+
+// Pieces returns the memory that a number of tokens needs.
+func (t *Table) Pieces(tokens int) int {
+	return max(1, (tokens+t.pieceTokens-1)/t.pieceTokens)
+}
+
+// Ask queues a request. The error is a *LeavingError, *TooLargeError,
+// *FullError or *StaleError.
+func (t *Table) Ask(now time.Time, a Ask) (Place, Effects, error) {
+	if t.leaving {
+		return Place{}, Effects{}, &LeavingError{}
+	}
+	pieces := t.Pieces(a.Tokens)
+	if pieces > t.pieces {
+		return Place{}, Effects{}, &TooLargeError{Pieces: pieces, Total: t.pieces}
+	}
+	if err := t.supersede(now, a.Attempt); err != nil {
+		return Place{}, Effects{}, err
+	}
+	wait := t.wait(a.Priority, pieces)
+	late := !a.Deadline.IsZero() && now.Add(wait).After(a.Deadline)
+	if len(t.queue) >= maxQueued || late {
+		return Place{}, Effects{}, &FullError{Queued: len(t.queue), RetryAfter: wait}
+	}
+	t.order++
+	r := &request{ask: a, pieces: pieces, order: t.order, until: now.Add(LeaseLength)}
+	t.insert(r)
+	place := Place{Ahead: t.ahead(r), Wait: wait}
+	return place, Effects{Granted: t.grant(now)}, nil
+}
+
+// supersede drops an older attempt of the same request, and refuses an attempt
+// that is older than the current one.
+func (t *Table) supersede(now time.Time, a Attempt) error {
+	old := t.find(a.Request)
+	if old == nil {
+		return nil
+	}
+	if old.ask.Attempt.Number >= a.Number {
+		return &StaleError{Attempt: a, Current: old.ask.Attempt.Number}
+	}
+	t.drop(now, old)
+	return nil
+}
+
+func (t *Table) find(name string) *request {
+	if r, ok := t.holders[name]; ok {
+		return r
+	}
+	return t.waiting[name]
+}
+
+func (t *Table) insert(r *request) {
+	t.waiting[r.ask.Attempt.Request] = r
+	at := sort.Search(len(t.queue), func(i int) bool { return goesBefore(r, t.queue[i]) })
+	t.queue = append(t.queue, nil)
+	copy(t.queue[at+1:], t.queue[at:])
+	t.queue[at] = r
+}
+
+func goesBefore(a, b *request) bool {
+	if a.ask.Priority != b.ask.Priority {
+		return a.ask.Priority > b.ask.Priority
+	}
+	return a.order < b.order
+}
+
+func (t *Table) ahead(r *request) int {
+	return sort.Search(len(t.queue), func(i int) bool { return !goesBefore(t.queue[i], r) })
+}
+
+// wait is the expected time until a request of a priority would be granted:
+// the memory asked for ahead of it, at the rate at which memory is given back.
+func (t *Table) wait(priority, pieces int) time.Duration {
+	ahead := 0
+	for _, r := range t.queue {
+		if r.ask.Priority < priority {
+			break
+		}
+		ahead += r.pieces
+	}
+	short := ahead + pieces - (t.pieces - t.used)
+	if short <= 0 {
+		return 0
+	}
+	return time.Duration(float64(t.stay) * float64(short) / float64(t.pieces))
+}
+
+// grant promises free memory to those in front of the queue, in order.
+func (t *Table) grant(now time.Time) []Grant {
+	var out []Grant
+	for len(t.queue) > 0 && t.used+t.queue[0].pieces <= t.pieces {
+		r := t.queue[0]
+		t.queue = t.queue[1:]
+		delete(t.waiting, r.ask.Attempt.Request)
+		t.nextID++
+		r.id, r.granted, r.until = t.nextID, now, now.Add(LeaseLength)
+		t.used += r.pieces
+		t.holders[r.ask.Attempt.Request] = r
+		out = append(out, Grant{Attempt: r.ask.Attempt, ID: r.id, Pieces: r.pieces})
+	}
+	return out
+}
+
+// Hold checks that a promise is current, and returns its memory. The error is
+// a *StaleError.
+func (t *Table) Hold(a Attempt, id uint64) (int, error) {
+	r := t.holders[a.Request]
+	if r == nil {
+		return 0, &StaleError{Attempt: a}
+	}
+	if r.ask.Attempt != a || r.id != id {
+		return 0, &StaleError{Attempt: a, Current: r.ask.Attempt.Number}
+	}
+	return r.pieces, nil
+}
+
+// Release ends an attempt, whether it waits or holds.
+func (t *Table) Release(now time.Time, a Attempt) Effects {
+	r := t.find(a.Request)
+	if r == nil || r.ask.Attempt != a {
+		return Effects{}
+	}
+	t.drop(now, r)
+	return Effects{Granted: t.grant(now)}
+}
+
+// drop removes a request and gives its memory back.
+func (t *Table) drop(now time.Time, r *request) {
+	name := r.ask.Attempt.Request
+	if r.id != 0 {
+		delete(t.holders, name)
+		t.used -= r.pieces
+		t.learn(now.Sub(r.granted))
+		return
+	}
+	delete(t.waiting, name)
+	for i, q := range t.queue {
+		if q == r {
+			t.queue = append(t.queue[:i:i], t.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+func (t *Table) learn(stay time.Duration) {
+	t.stay += time.Duration(smoothing * float64(stay-t.stay))
+}
+
+// Renew extends the leases of an entry's attempts, and returns those that are
+// not known here.
+func (t *Table) Renew(now time.Time, attempts []Attempt) []Attempt {
+	var unknown []Attempt
+	for _, a := range attempts {
+		r := t.find(a.Request)
+		if r == nil || r.ask.Attempt != a {
+			unknown = append(unknown, a)
+			continue
+		}
+		r.until = now.Add(LeaseLength)
+	}
+	return unknown
+}
+
+// Tick ends the attempts whose leases or deadlines have passed.
+func (t *Table) Tick(now time.Time) Effects {
+	var e Effects
+	for _, r := range t.holders {
+		if !now.Before(r.until) {
+			e.Lapsed = append(e.Lapsed, r.ask.Attempt)
+		}
+	}
+	for _, r := range t.queue {
+		late := !r.ask.Deadline.IsZero() && now.After(r.ask.Deadline)
+		if late || !now.Before(r.until) {
+			e.Expired = append(e.Expired, r.ask.Attempt)
+		}
+	}
+	for _, a := range append(append([]Attempt(nil), e.Lapsed...), e.Expired...) {
+		t.drop(now, t.find(a.Request))
+	}
+	e.Granted = t.grant(now)
+	return e
+}
+
+// Load returns the state of the memory.
+func (t *Table) Load() Load {
+	return Load{
+		PiecesFree:  t.pieces - t.used,
+		PiecesTotal: t.pieces,
+		Running:     len(t.holders),
+		Queued:      len(t.queue),
+		Wait:        t.wait(0, 1),
+	}
+}
--- /dev/null
+++ b/services/client.go
@@ -0,0 +1,118 @@
+// Package services is the agent's side towards a plain service.
+package services
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/dghubble/sling"
+)
+
+const (
+	dialTimeout = time.Second
+	// MaxBodyBytes bounds the body of a call and of its answer.
+	MaxBodyBytes = 4 << 20
+)
+
+// Call is one HTTP call of a plain service.
+type Call struct {
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+	// Key is passed on as the Idempotency-Key header where there is one.
+	Key string
+	// Request is passed on as the X-Request-Id header.
+	Request string
+}
+
+// Answer is a service's answer, whatever its status.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// NotSentError reports that a call never reached the service.
+type NotSentError struct {
+	Cause error
+}
+
+// Error gives the cause.
+func (e *NotSentError) Error() string {
+	return fmt.Sprintf("call was not sent: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error {
+	return e.Cause
+}
+
+// Client calls one plain service. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+	base *sling.Sling
+}
+
+// NewClient returns a client for a service's address. Each call has a
+// connection of its own: the standard transport resends a call by itself when
+// a kept connection turns out to be closed and the call carries an
+// Idempotency-Key, which a non-idempotent call must never suffer.
+func NewClient(a netip.AddrPort) *Client {
+	d := &net.Dialer{Timeout: dialTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, &NotSentError{Cause: err}
+		}
+		return c, nil
+	}
+	h := &http.Client{
+		Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+	return &Client{http: h, base: sling.New().Base("http://" + a.String())}
+}
+
+// Call makes one call. The error is a *NotSentError where it is certain that
+// the service has not seen the call.
+func (c *Client) Call(ctx context.Context, r Call) (Answer, error) {
+	req, err := c.request(ctx, r)
+	if err != nil {
+		return Answer{}, &NotSentError{Cause: err}
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, MaxBodyBytes))
+	if err != nil {
+		return Answer{}, err
+	}
+	return Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, nil
+}
+
+func (c *Client) request(ctx context.Context, r Call) (*http.Request, error) {
+	s := c.base.New().Path(r.Path).Body(bytes.NewReader(r.Body)).Set("X-Request-Id", r.Request)
+	if r.ContentType != "" {
+		s = s.Set("Content-Type", r.ContentType)
+	}
+	if r.Key != "" {
+		s = s.Set("Idempotency-Key", r.Key)
+	}
+	req, err := s.Request()
+	if err != nil {
+		return nil, err
+	}
+	req.Method = r.Method
+	return req.WithContext(ctx), nil
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,116 @@
+// Package settings reads the one JSON file of each process and checks it as a
+// whole before anything starts.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/joomcode/errorx"
+)
+
+// Entry is the settings of an entry.
+type Entry struct {
+	// Name is unique among the processes of an environment.
+	Name          string
+	Environment   string
+	FailureDomain string
+	// Callers is the address on which callers are served.
+	Callers netip.AddrPort
+	// Operators is the address for status, metrics, readiness and drain.
+	Operators netip.AddrPort
+	// Controls has at least one address.
+	Controls []netip.AddrPort
+	// Policy names the placement policy.
+	Policy string
+	// TraceFile receives spans as JSON lines; empty means none.
+	TraceFile string
+	// DecisionFile receives decisions as JSON lines; empty means none.
+	DecisionFile string
+}
+
+// Agent is the settings of an agent.
+type Agent struct {
+	// Name is unique among the processes of an environment.
+	Name          string
+	Environment   string
+	FailureDomain string
+	// Peers is the address on which entries are served.
+	Peers netip.AddrPort
+	// Endpoint is the address on which the endpoint announces itself.
+	Endpoint netip.AddrPort
+	// Operators is the address for metrics.
+	Operators netip.AddrPort
+	// Controls has at least one address.
+	Controls  []netip.AddrPort
+	TraceFile string
+}
+
+// Control is the settings of a control process.
+type Control struct {
+	// Name is unique among the processes of an environment.
+	Name          string
+	FailureDomain string
+	// Peers is the address on which all other processes are served.
+	Peers netip.AddrPort
+	// Operators is the address for metrics.
+	Operators netip.AddrPort
+	// DataFolder is where durable state lives.
+	DataFolder string
+	// WatchHistory is the number of events kept for watchers that resume.
+	WatchHistory int
+}
+
+// Fault is one thing that is wrong with a settings file.
+type Fault struct {
+	Field    string
+	Value    string
+	Expected string
+}
+
+// CheckError reports everything that is wrong with a settings file.
+type CheckError struct {
+	// File is the path that was read.
+	File string
+	// Faults has at least one element.
+	Faults []Fault
+}
+
+// Error lists the faults.
+func (e *CheckError) Error() string {
+	parts := make([]string, 0, len(e.Faults))
+	for _, f := range e.Faults {
+		parts = append(parts, fmt.Sprintf("%s: found %s, expected %s", f.Field, f.Value, f.Expected))
+	}
+	return e.File + ": " + strings.Join(parts, "; ")
+}
+
+// Read fills in v from a JSON file and refuses unknown fields.
+func Read(file string, v any) error {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return errorx.Decorate(err, "read settings")
+	}
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return &CheckError{File: file, Faults: []Fault{explain(err)}}
+	}
+	return nil
+}
+
+func explain(err error) Fault {
+	var te *json.UnmarshalTypeError
+	if errors.As(err, &te) {
+		return Fault{Field: te.Field, Value: te.Value, Expected: te.Type.String()}
+	}
+	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		return Fault{Field: strings.Trim(name, `"`), Value: "unknown field", Expected: "a field of this program's settings"}
+	}
+	return Fault{Field: "file", Value: err.Error(), Expected: "one JSON object"}
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,263 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"ebonyreel/endpoints"
+	"ebonyreel/engines"
+	"ebonyreel/standin/tokens"
+)
+
+const (
+	// tokenRing bounds the tokens that a slow reader may leave unread before
+	// its request is held back.
+	tokenRing = 64
+	fileMode  = 0o640
+)
+
+// engine is the whole state of the stand-in.
+type engine struct {
+	settings Settings
+	instance string
+	// link spends time for each byte that leaves.
+	link *rate.Limiter
+
+	mu sync.Mutex
+	// role, version, adapters and fence follow orders; fence only grows.
+	role     string
+	version  string
+	adapters []string
+	fence    uint64
+	// sequences are the imported requests; the sum of their pieces never
+	// exceeds the memory.
+	sequences map[string]*sequence
+	used      int
+	// exports are the results of prefill that were not evicted yet.
+	exports map[string]*export
+	// prefilling is the requests whose prefill waits or runs.
+	prefilling map[string]context.CancelFunc
+	queue      prefillQueue
+	cache      prefixCache
+	load       engines.Load
+	lagged     engines.Load
+	history    *json.Encoder
+}
+
+// sequence is an imported request.
+type sequence struct {
+	prompt string
+	pieces int
+	// next is the position of the next token, and limit that of the end.
+	next  int
+	limit int
+	// out is nil until a decode call has come.
+	out chan engines.Token
+	// reason is why the answer ends at limit.
+	reason string
+}
+
+// export is the result of a prefill.
+type export struct {
+	request  string
+	prompt   string
+	position int
+	tokens   int
+	evict    *time.Timer
+}
+
+func newEngine(s Settings) (*engine, error) {
+	e := &engine{
+		settings:   s,
+		instance:   rand.Text(),
+		link:       rate.NewLimiter(rate.Limit(s.LinkBytesPerSecond), s.LinkBytesPerSecond),
+		role:       s.Role,
+		version:    s.Version,
+		adapters:   s.Adapters,
+		sequences:  map[string]*sequence{},
+		exports:    map[string]*export{},
+		prefilling: map[string]context.CancelFunc{},
+		cache:      prefixCache{limit: s.CacheTokens},
+		history:    json.NewEncoder(os.Stdout),
+	}
+	e.link.AllowN(time.Now(), s.LinkBytesPerSecond)
+	if s.HistoryFile == "" {
+		e.history = nil
+		return e, nil
+	}
+	f, err := os.OpenFile(s.HistoryFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	e.history = json.NewEncoder(f)
+	return e, nil
+}
+
+// record is one line of the history.
+type record struct {
+	Time    time.Time
+	Event   string
+	Request string
+	Tokens  int
+}
+
+// note writes a line of history. It is called with mu held.
+func (e *engine) note(event, request string, n int) {
+	if e.history != nil {
+		_ = e.history.Encode(record{Time: time.Now(), Event: event, Request: request, Tokens: n})
+	}
+}
+
+func (e *engine) announcement() endpoints.Announcement {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return endpoints.Announcement{
+		Address:       e.settings.Address,
+		Instance:      e.instance,
+		Role:          e.role,
+		Serves:        e.settings.Model,
+		Version:       e.version,
+		Adapters:      e.adapters,
+		MemoryPieces:  e.settings.MemoryPieces,
+		PieceTokens:   e.settings.PieceTokens,
+		ChecksFencing: e.settings.ChecksFencing,
+	}
+}
+
+// place puts an imported request into memory. It reports false when there is
+// no room.
+func (e *engine) place(c engines.ImportCall, x engines.Export) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.used+c.Pieces > e.settings.MemoryPieces {
+		return false
+	}
+	e.dropSequence(c.Request)
+	e.used += c.Pieces
+	e.sequences[c.Request] = &sequence{prompt: x.Prompt, pieces: c.Pieces, next: x.Position}
+	e.note("Import", c.Request, x.Tokens)
+	return true
+}
+
+// begin starts the decode of an imported request.
+func (e *engine) begin(c engines.DecodeCall) (<-chan engines.Token, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	q := e.sequences[c.Request]
+	if q == nil || q.out != nil {
+		return nil, false
+	}
+	q.next = c.FromPosition
+	q.limit, q.reason = tokens.Length(q.prompt), "stop"
+	if c.MaxTokens < q.limit {
+		q.limit, q.reason = c.MaxTokens, "length"
+	}
+	q.out = make(chan engines.Token, tokenRing)
+	e.note("Decode", c.Request, q.next)
+	return q.out, true
+}
+
+// cancel forgets all of a request.
+func (e *engine) cancel(request string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.note("Cancel", request, 0)
+	e.dropSequence(request)
+	if stop := e.prefilling[request]; stop != nil {
+		stop()
+	}
+	for h, x := range e.exports {
+		if x.request == request {
+			e.dropExport(h, true)
+		}
+	}
+}
+
+// dropSequence gives memory back. It is called with mu held.
+func (e *engine) dropSequence(request string) {
+	q := e.sequences[request]
+	if q == nil {
+		return
+	}
+	delete(e.sequences, request)
+	e.used -= q.pieces
+	if q.out != nil {
+		close(q.out)
+	}
+}
+
+// dropExport forgets a result of prefill. It is called with mu held.
+func (e *engine) dropExport(handle string, wasted bool) {
+	x := e.exports[handle]
+	if x == nil {
+		return
+	}
+	x.evict.Stop()
+	delete(e.exports, handle)
+	if wasted {
+		e.load.WastedTokens += uint64(x.tokens)
+		e.note("Wasted", x.request, x.tokens)
+	}
+}
+
+// batches makes one token for each running request at each step.
+func (e *engine) batches(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(e.step())
+	}
+}
+
+// step makes one decode step and returns the time that it takes.
+func (e *engine) step() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	running := 0
+	for name, q := range e.sequences {
+		if q.out == nil {
+			continue
+		}
+		running++
+		e.advance(name, q)
+	}
+	us := e.settings.StepMicroseconds + running*e.settings.StepPerRequestMicroseconds
+	return time.Duration(us) * time.Microsecond
+}
+
+// advance makes the next token of a request, unless its reader is behind.
+func (e *engine) advance(name string, q *sequence) {
+	t := engines.Token{Position: q.next}
+	if q.next >= q.limit {
+		t.End, t.FinishReason = true, q.reason
+	} else {
+		t.Text = tokens.Text(q.prompt, q.next)
+	}
+	select {
+	case q.out <- t:
+	default:
+		return
+	}
+	q.next++
+	if t.End {
+		e.note("Done", name, q.limit)
+		e.dropSequence(name)
+	}
+}
+
+// lag copies the load report late.
+func (e *engine) lag(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(e.settings.LoadLagMilliseconds) * time.Millisecond)
+		e.mu.Lock()
+		e.load.PiecesFree = e.settings.MemoryPieces - e.used
+		e.load.Running = len(e.sequences)
+		e.load.Queued = len(e.prefilling)
+		e.lagged = e.load
+		e.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/standin/load/main.go
@@ -0,0 +1,34 @@
+// Command load sends calls to entries at a seeded Poisson rate, whatever the
+// answers take (an open loop), and checks each answer.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"log"
+	"os"
+)
+
+func main() {
+	file := flag.String("plan", "plan.json", "what to send")
+	seed := flag.Uint64("seed", 1, "seed of arrivals and prompts")
+	show := flag.Int("show", 0, "number of answers to print")
+	label := flag.String("label", "", "JSON object whose fields are added to the result line")
+	flag.Parse()
+	p, err := readPlan(*file)
+	if err != nil {
+		log.Fatal(err)
+	}
+	r := newRun(p, *seed, *show)
+	r.play()
+	fmt.Print(r.table())
+	line, err := json.Marshal(r.result(*label))
+	if err != nil {
+		log.Fatal(err)
+	}
+	fmt.Println(string(line))
+	if r.lost() > 0 {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/standin/load/plan.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+)
+
+// Plan is what to send.
+type Plan struct {
+	// Deployment is printed with the result.
+	Deployment string
+	Entries    []netip.AddrPort
+	// Seconds is how long calls are sent; answers are awaited without limit.
+	Seconds float64
+	Streams []Stream
+	// FirstTokenMilliseconds and BetweenTokensMilliseconds are the targets;
+	// the first one comes on top of the prompt's own prefill time.
+	FirstTokenMilliseconds    float64
+	BetweenTokensMilliseconds float64
+	PrefillTokensPerSecond    float64
+	// CancelPercent is the share of completions whose caller hangs up.
+	CancelPercent int
+	// GiveUpSeconds is how long a patient caller keeps coming back after
+	// refusals; zero means that it does not.
+	GiveUpSeconds float64
+}
+
+// Stream is one kind of call.
+type Stream struct {
+	Name string
+	// Key is the caller's key.
+	Key           string
+	RatePerSecond float64
+	// Model is set for completions. PromptTokens are the bounds of a prompt's
+	// length, and SharedPercent the share of prompts with one common prefix of
+	// SharedTokens.
+	Model         string
+	PromptTokens  [2]int
+	SharedTokens  int
+	SharedPercent int
+	MaxTokens     int
+	Whole         bool
+	// Method and Path are set for calls of plain services.
+	Method string
+	Path   string
+	// Keyed calls carry an Idempotency-Key, and each is sent twice.
+	Keyed bool
+	// DeadlineMilliseconds bounds a plain call, for the count of late ones.
+	DeadlineMilliseconds float64
+}
+
+func readPlan(file string) (Plan, error) {
+	var p Plan
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return p, err
+	}
+	return p, json.Unmarshal(b, &p)
+}
--- /dev/null
+++ b/standin/load/report.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+const microsecondsPerMillisecond = 1000.0
+
+// result is the JSON line of a run.
+type result struct {
+	Case          string
+	Deployment    string
+	Policy        string
+	Seed          uint64
+	Offered       int
+	Goodput       float64
+	WastedPrefill float64
+	Refused       int
+	Lost          int
+	// FirstTokenP95 and BetweenTokensP95 are in milliseconds.
+	FirstTokenP95    float64
+	BetweenTokensP95 float64
+}
+
+// result sums up the completions. The label's fields are taken over.
+func (r *run) result(label string) result {
+	out := result{Deployment: r.plan.Deployment, Seed: r.seed, Lost: r.lost()}
+	if label != "" {
+		_ = json.Unmarshal([]byte(label), &out)
+	}
+	all := newTally()
+	for _, s := range r.plan.Streams {
+		if s.Model == "" {
+			continue
+		}
+		t := r.tallies[s.Name]
+		out.Offered += t.Offered
+		out.Refused += t.Refused
+		out.Goodput += float64(t.Good) / r.plan.Seconds
+		all.firstToken.Merge(t.firstToken)
+		all.betweenTokens.Merge(t.betweenTokens)
+	}
+	out.FirstTokenP95 = float64(all.firstToken.ValueAtQuantile(95)) / microsecondsPerMillisecond
+	out.BetweenTokensP95 = float64(all.betweenTokens.ValueAtQuantile(95)) / microsecondsPerMillisecond
+	return out
+}
+
+// table prints a row for each stream.
+func (r *run) table() string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "stream\toffered\twhole\tgood\trefused\tcancelled\tbroken\twrong\tlate\tfirst p50\tfirst p95\tbetween p50\tbetween p95\t")
+	for _, s := range r.plan.Streams {
+		t := r.tallies[s.Name]
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t\n", s.Name,
+			t.Offered, t.Whole, t.Good, t.Refused, t.Cancelled, t.Broken, t.Wrong, t.Late,
+			microseconds(t.firstToken.ValueAtQuantile(50)), microseconds(t.firstToken.ValueAtQuantile(95)),
+			microseconds(t.betweenTokens.ValueAtQuantile(50)), microseconds(t.betweenTokens.ValueAtQuantile(95)))
+	}
+	_ = w.Flush()
+	return b.String()
+}
+
+func microseconds(v int64) string {
+	return (time.Duration(v) * time.Microsecond).Round(100 * time.Microsecond).String()
+}
--- /dev/null
+++ b/state/history.go
@@ -0,0 +1,65 @@
+package state
+
+import (
+	"sort"
+	"strings"
+
+	controlv1 "ebonyreel/proto/control/v1"
+)
+
+// history is the window of recent events that one shared buffer keeps for all
+// watchers.
+type history struct {
+	// limit is the number of events kept.
+	limit int
+	// events is in ascending order of revision.
+	events []*controlv1.Event
+	// compacted is the newest revision that is gone.
+	compacted uint64
+}
+
+func (h *history) add(e *controlv1.Event) {
+	h.events = append(h.events, e)
+	if over := len(h.events) - h.limit; over > 0 {
+		h.compacted = h.events[over-1].GetRevision()
+		h.events = append(h.events[:0:0], h.events[over:]...)
+	}
+}
+
+// since returns the events from a revision on whose keys have a prefix.
+func (h *history) since(prefix string, from uint64) ([]*controlv1.Event, error) {
+	if from <= h.compacted {
+		return nil, &CompactedError{Compacted: h.compacted}
+	}
+	start := sort.Search(len(h.events), func(i int) bool { return h.events[i].GetRevision() >= from })
+	var out []*controlv1.Event
+	for _, e := range h.events[start:] {
+		if strings.HasPrefix(e.GetKey(), prefix) {
+			out = append(out, e)
+		}
+	}
+	return out, nil
+}
+
+// List returns the items whose keys have a prefix, sorted by key, and the
+// revision that they are consistent with.
+func (s *State) List(prefix string) ([]*controlv1.Item, uint64) {
+	var out []*controlv1.Item
+	for k, it := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, it)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].GetKey() < out[j].GetKey() })
+	return out, s.revision
+}
+
+// Since returns the events from a revision on whose keys have a prefix, and
+// the revision up to which they are complete. The error is a *CompactedError
+// when some of them are gone. A list at R joined to the events from R+1 is the
+// list-then-watch protocol of the Kubernetes API ("Efficient detection of
+// changes").
+func (s *State) Since(prefix string, from uint64) ([]*controlv1.Event, uint64, error) {
+	out, err := s.history.since(prefix, from)
+	return out, s.revision, err
+}
--- /dev/null
+++ b/state/state.go
@@ -0,0 +1,100 @@
+// Package state is the deterministic state machine of control: documents,
+// members, operation records and strikes. It has no clock and does no I/O;
+// the replicated log feeds it commands, and every replica that applied the
+// same commands holds the same state.
+package state
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ebonyreel/document"
+	controlv1 "ebonyreel/proto/control/v1"
+)
+
+// State is the whole state. It is not safe for concurrent use.
+type State struct {
+	// revision grows by one with each published change.
+	revision uint64
+	// incarnation is the last allotted incarnation; it only grows.
+	incarnation uint64
+	// documents maps an environment to its accepted documents, oldest first.
+	documents map[string][]*controlv1.Document
+	// retentions maps an environment to what its current document declares.
+	retentions map[string]document.Retention
+	// items maps a key to what watchers see under it.
+	items map[string]*controlv1.Item
+	// operations maps a key to the record of a non-idempotent call.
+	operations map[string]*controlv1.Operation
+	// order lists the keys of operations, the least recently begun first.
+	order []string
+	// history holds the newest events for watchers that resume.
+	history history
+}
+
+// New returns an empty state that keeps a number of events for watchers.
+func New(events int) *State {
+	return &State{
+		documents:  map[string][]*controlv1.Document{},
+		retentions: map[string]document.Retention{},
+		items:      map[string]*controlv1.Item{},
+		operations: map[string]*controlv1.Operation{},
+		history:    history{limit: events},
+	}
+}
+
+// Revision returns the revision of the last published change.
+func (s *State) Revision() uint64 {
+	return s.revision
+}
+
+// Apply carries out one command and returns its answer. An error is a result
+// like any other: every replica computes the same one.
+func (s *State) Apply(c *controlv1.Command) (proto.Message, error) {
+	now := c.GetTime().AsTime()
+	switch k := c.GetKind().(type) {
+	case *controlv1.Command_Accept:
+		return s.accept(now, k.Accept)
+	case *controlv1.Command_Approve:
+		return s.approve(now, k.Approve)
+	case *controlv1.Command_Promote:
+		return s.promote(now, k.Promote)
+	case *controlv1.Command_Announce:
+		return s.announce(k.Announce)
+	case *controlv1.Command_Leave:
+		return s.leave(k.Leave)
+	case *controlv1.Command_Begin:
+		return s.begin(now, k.Begin)
+	case *controlv1.Command_Finish:
+		return s.finish(now, k.Finish)
+	case *controlv1.Command_AddStrikes:
+		return s.addStrikes(now, k.AddStrikes)
+	}
+	return nil, &CommandError{Kind: fmt.Sprintf("%T", c.GetKind())}
+}
+
+// publish makes a value visible under a key at the next revision.
+func (s *State) publish(key string, it *controlv1.Item) {
+	s.revision++
+	it.Key = key
+	it.Revision = s.revision
+	s.items[key] = it
+	s.history.add(&controlv1.Event{Revision: s.revision, Key: key, Item: it})
+}
+
+// withdraw deletes a key at the next revision.
+func (s *State) withdraw(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.items, key)
+	s.history.add(&controlv1.Event{Revision: s.revision, Key: key})
+}
+
+// before reports whether a time lies further back than an age.
+func before(at time.Time, now time.Time, age time.Duration) bool {
+	return now.Sub(at) > age
+}
--- /dev/null
+++ b/traces/traces.go
@@ -0,0 +1,93 @@
+// Package traces sets up OpenTelemetry: one span for each hop of a request,
+// written as JSON lines, with the context in the usual headers.
+package traces
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+
+	"connectrpc.com/connect"
+	"connectrpc.com/otelconnect"
+	"github.com/joomcode/errorx"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+const (
+	folderMode = 0o750
+	fileMode   = 0o640
+)
+
+// Tracer starts the spans of a process. The zero value records nothing.
+type Tracer struct {
+	provider trace.TracerProvider
+	stop     func(context.Context) error
+}
+
+// Open returns a tracer that appends spans to a file, or one that records
+// nothing where no file is named.
+func Open(file, program, name string) (*Tracer, error) {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	if file == "" {
+		return &Tracer{}, nil
+	}
+	if err := os.MkdirAll(filepath.Dir(file), folderMode); err != nil {
+		return nil, errorx.Decorate(err, "make the folder of the trace file")
+	}
+	f, err := os.OpenFile(file, os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode)
+	if err != nil {
+		return nil, errorx.Decorate(err, "open the trace file")
+	}
+	x, err := stdouttrace.New(stdouttrace.WithWriter(f))
+	if err != nil {
+		return nil, errorx.Decorate(err, "make the trace exporter")
+	}
+	p := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(x),
+		sdktrace.WithResource(resource.NewSchemaless(attribute.String("service.name", program), attribute.String("service.instance.id", name))),
+	)
+	stop := func(ctx context.Context) error {
+		defer func() { _ = f.Close() }()
+		return p.Shutdown(ctx)
+	}
+	return &Tracer{provider: p, stop: stop}, nil
+}
+
+// Provider returns the provider behind the tracer.
+func (t *Tracer) Provider() trace.TracerProvider {
+	if t.provider == nil {
+		return noop.NewTracerProvider()
+	}
+	return t.provider
+}
+
+// Start begins a span.
+func (t *Tracer) Start(ctx context.Context, name string) (context.Context, trace.Span) {
+	return t.Provider().Tracer("ebonyreel").Start(ctx, name)
+}
+
+// Interceptor returns an interceptor that carries the trace context over RPCs,
+// and makes a span for each.
+func (t *Tracer) Interceptor() (connect.Interceptor, error) {
+	return otelconnect.NewInterceptor(
+		otelconnect.WithTracerProvider(t.Provider()),
+		otelconnect.WithPropagator(propagation.TraceContext{}),
+		otelconnect.WithoutMetrics(),
+		otelconnect.WithTrustRemote(),
+	)
+}
+
+// Close writes the spans that are still in memory.
+func (t *Tracer) Close(ctx context.Context) error {
+	if t.stop == nil {
+		return nil
+	}
+	return t.stop(ctx)
+}
