--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 PROGRAMS := entry agent control ebonyreel
 STANDINS := engine service weightstore load
-MODULES  := . $(PROGRAMS:%=cmd/%) $(STANDINS:%=standin/%)
+MODULES  := . proof $(PROGRAMS:%=cmd/%) $(STANDINS:%=standin/%)
+PACKAGES := $(MODULES:%=./%/...)
 LINT     := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 SEED     ?= 1
+SEEDS    ?= 20
 
 .PHONY: build demo test lint format generate proof bench
 
@@ -17,13 +19,14 @@
 
 # Formatter, linter, build and all tests with a steady verdict.
 test: lint build
-	@for m in $(MODULES); do (cd $$m && go vet ./... && go test ./...) || exit 1; done
+	@go vet $(PACKAGES)
+	@go test $(PACKAGES)
 
 lint:
-	@for m in $(MODULES); do (cd $$m && $(LINT) run ./...) || exit 1; done
+	@$(LINT) run $(PACKAGES)
 
 format:
-	@for m in $(MODULES); do (cd $$m && $(LINT) fmt) || exit 1; done
+	@$(LINT) fmt $(MODULES)
 
 # Protocol code; the output is committed, so the build needs no generator.
 generate:
@@ -32,8 +35,9 @@
 	@cd tools/buf && GOWORK=off GOBIN=$(CURDIR)/build/tools go install tool
 	@PATH=$(CURDIR)/build/tools:$$PATH buf generate
 
-proof:
-	@echo "nothing to prove yet"
+# Histories of real processes under failures; SEED=n repeats a run.
+proof: build
+	@go test -count=1 -v -timeout 60m ./proof/... -args -seed $(SEED) -seeds $(SEEDS)
 
 bench:
 	@echo "nothing to measure yet"
--- /dev/null
+++ b/proof/harness_test.go
@@ -0,0 +1,344 @@
+// Package proof runs the real programs under failures and checks histories.
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ebonyreel/controls"
+	"ebonyreel/endpoints"
+	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/transport"
+)
+
+var (
+	seed  = flag.Uint64("seed", 1, "first seed")
+	seeds = flag.Int("seeds", 1, "number of seeds")
+)
+
+// binaries is the folder of the built programs.
+var binaries string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	logrus.SetLevel(logrus.ErrorLevel)
+	dir, err := os.MkdirTemp("", "ebonyreel-proof")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	for _, p := range []string{"cmd/entry", "cmd/agent", "cmd/control", "standin/engine", "standin/service"} {
+		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, filepath.Base(p)), "../"+p).CombinedOutput()
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", p, err, out)
+			os.Exit(1)
+		}
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// cluster is the processes of one test.
+type cluster struct {
+	t           *testing.T
+	dir         string
+	environment string
+	controls    []netip.AddrPort
+}
+
+// proc is one process.
+type proc struct {
+	name string
+	cmd  *exec.Cmd
+	log  string
+	// address is where the process is reached: entry's callers, agent's
+	// peers, or an endpoint's calls.
+	address   netip.AddrPort
+	operators netip.AddrPort
+	// endpoint is where an agent hears its endpoint.
+	endpoint netip.AddrPort
+	settings string
+	program  string
+	// history is the file that a stand-in writes.
+	history string
+	ended   chan struct{}
+}
+
+func newCluster(t *testing.T, environment string) *cluster {
+	t.Helper()
+	return &cluster{t: t, dir: t.TempDir(), environment: environment}
+}
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// start writes settings and starts a program with them.
+func (c *cluster) start(p *proc, settings any) *proc {
+	c.t.Helper()
+	b, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	p.settings = filepath.Join(c.dir, p.name+".json")
+	p.log = filepath.Join(c.dir, p.name+".log")
+	if err := os.WriteFile(p.settings, b, 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	c.launch(p)
+	return p
+}
+
+// launch starts a process, also one that ended before.
+func (c *cluster) launch(p *proc) {
+	c.t.Helper()
+	f, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	cmd := exec.Command(filepath.Join(binaries, p.program), "--settings", p.settings)
+	cmd.Stdout, cmd.Stderr = f, f
+	if err := cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	p.cmd, p.ended = cmd, ended
+	go func() {
+		_ = cmd.Wait()
+		_ = f.Close()
+		close(ended)
+	}()
+	c.t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		<-ended
+	})
+}
+
+// kill ends a process at once.
+func (p *proc) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.ended
+}
+
+// freeze stops a process without ending it; thaw lets it go on.
+func (p *proc) freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
+func (p *proc) thaw()   { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// stop asks for a planned stop and waits for the end of the process.
+func (p *proc) stop(within time.Duration) bool {
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.ended:
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
+type controlSettings struct {
+	Name          string
+	FailureDomain string
+	Peers         netip.AddrPort
+	Operators     netip.AddrPort
+	DataFolder    string
+}
+
+func (c *cluster) control(name string) *proc {
+	c.t.Helper()
+	p := &proc{name: name, program: "control", address: freeAddress(c.t), operators: freeAddress(c.t)}
+	c.start(p, controlSettings{
+		Name: name, FailureDomain: "a", Peers: p.address, Operators: p.operators, DataFolder: filepath.Join(c.dir, name+".data"),
+	})
+	c.controls = append(c.controls, p.address)
+	return p
+}
+
+type entrySettings struct {
+	Name          string
+	Environment   string
+	FailureDomain string
+	Callers       netip.AddrPort
+	Operators     netip.AddrPort
+	Controls      []netip.AddrPort
+}
+
+func (c *cluster) entry(name string) *proc {
+	c.t.Helper()
+	p := &proc{name: name, program: "entry", address: freeAddress(c.t), operators: freeAddress(c.t)}
+	return c.start(p, entrySettings{
+		Name: name, Environment: c.environment, FailureDomain: "a", Callers: p.address, Operators: p.operators, Controls: c.controls,
+	})
+}
+
+type agentSettings struct {
+	Name          string
+	Environment   string
+	FailureDomain string
+	Peers         netip.AddrPort
+	Endpoint      netip.AddrPort
+	Operators     netip.AddrPort
+	Controls      []netip.AddrPort
+}
+
+func (c *cluster) agent(name string) *proc {
+	c.t.Helper()
+	p := &proc{name: name, program: "agent", address: freeAddress(c.t), operators: freeAddress(c.t), endpoint: freeAddress(c.t)}
+	return c.start(p, agentSettings{
+		Name: name, Environment: c.environment, FailureDomain: "a", Peers: p.address, Endpoint: p.endpoint,
+		Operators: p.operators, Controls: c.controls,
+	})
+}
+
+// engineSettings are the settings of a stand-in engine that tests vary; zero
+// leaves the stand-in's default.
+type engineSettings struct {
+	Address                netip.AddrPort
+	Agent                  netip.AddrPort
+	Role                   string
+	Model                  string
+	HistoryFile            string
+	MemoryPieces           int `json:",omitempty"`
+	StepMicroseconds       int `json:",omitempty"`
+	PrefillTokensPerSecond int `json:",omitempty"`
+	EvictMilliseconds      int `json:",omitempty"`
+	StallPercent           int `json:",omitempty"`
+	ChecksFencing          bool
+}
+
+// engine starts an agent and a stand-in engine beside it.
+func (c *cluster) engine(name, role, model string, s engineSettings) (agent, engine *proc) {
+	c.t.Helper()
+	agent = c.agent(name)
+	engine = &proc{name: name + "-engine", program: "engine", address: freeAddress(c.t), history: filepath.Join(c.dir, name+".history")}
+	s.Address, s.Agent, s.Role, s.Model, s.HistoryFile = engine.address, agent.endpoint, role, model, engine.history
+	c.start(engine, s)
+	return agent, engine
+}
+
+type serviceSettings struct {
+	Address           netip.AddrPort
+	Agent             netip.AddrPort
+	Name              string
+	DelayMilliseconds int
+	HistoryFile       string
+}
+
+// service starts an agent and a stand-in plain service beside it.
+func (c *cluster) service(name, serves string, delay time.Duration) (agent, service *proc) {
+	c.t.Helper()
+	agent = c.agent(name)
+	service = &proc{name: name + "-service", program: "service", address: freeAddress(c.t), history: filepath.Join(c.dir, name+".history")}
+	c.start(service, serviceSettings{
+		Address: service.address, Agent: agent.endpoint, Name: serves, DelayMilliseconds: int(delay.Milliseconds()), HistoryFile: service.history,
+	})
+	return agent, service
+}
+
+// client returns a client for the control hosts.
+func (c *cluster) client() *controls.Client {
+	return controls.NewClient(transport.NewClient(), c.controls)
+}
+
+// submit submits a file of examples.
+func (c *cluster) submit(file string) {
+	c.t.Helper()
+	b, err := os.ReadFile(file)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	r := &controlv1.SubmitRequest{Environment: c.environment, Document: b, Submitter: "proof"}
+	eventually(c.t, 10*time.Second, "document accepted", func() bool {
+		_, err := c.client().Submit(context.Background(), r)
+		return err == nil
+	})
+}
+
+// await waits until a number of processes have joined and all entries given
+// are ready.
+func (c *cluster) await(members int, entries ...*proc) {
+	c.t.Helper()
+	eventually(c.t, 15*time.Second, "members joined", func() bool {
+		res, err := c.client().List(context.Background(), c.environment+"/Member/")
+		return err == nil && len(res.GetItems()) >= members
+	})
+	for _, e := range entries {
+		eventually(c.t, 15*time.Second, e.name+" ready", func() bool {
+			res, err := http.Get("http://" + e.operators.String() + "/ready")
+			if err != nil {
+				return false
+			}
+			_ = res.Body.Close()
+			return res.StatusCode == http.StatusOK
+		})
+	}
+}
+
+// eventually polls until a condition holds, and fails the test at the limit.
+func eventually(t *testing.T, limit time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not within %s: %s", limit, what)
+}
+
+// reply is a caller's view of an answer.
+type reply struct {
+	status  int
+	header  http.Header
+	body    string
+	err     error
+	elapsed time.Duration
+}
+
+// call makes one HTTP call of a caller.
+func call(ctx context.Context, entry *proc, method, path, key, idempotencyKey, body string) reply {
+	start := time.Now()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+entry.address.String()+path, bytes.NewBufferString(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	if idempotencyKey != "" {
+		r.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err, elapsed: time.Since(start)}
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	return reply{status: res.StatusCode, header: res.Header, body: string(b), err: err, elapsed: time.Since(start)}
+}
+
+// roles of endpoints, for short.
+const (
+	prefillRole = endpoints.RolePrefill
+	decodeRole  = endpoints.RoleDecode
+)
--- /dev/null
+++ b/proof/path_test.go
@@ -0,0 +1,58 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"ebonyreel/standin/tokens"
+)
+
+// archive starts one small deployment of the archive's example.
+func archive(t *testing.T) (*cluster, *proc) {
+	t.Helper()
+	c := newCluster(t, "archive-trial")
+	c.control("control-0")
+	c.submit("../examples/archive.json")
+	e := c.entry("entry-0")
+	c.engine("prefill-0", prefillRole, "summariser", engineSettings{})
+	c.engine("decode-0", decodeRole, "summariser", engineSettings{})
+	c.service("service-0", "request-desk", 0)
+	c.await(4, e)
+	return c, e
+}
+
+// TestWholePath sends each kind of call through real processes.
+func TestWholePath(t *testing.T) {
+	_, e := archive(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+
+	prompt := strings.Repeat("the deed of the estate ", 40)
+	body, _ := json.Marshal(map[string]any{"model": "summariser", "prompt": prompt, "max_tokens": 40})
+	r := call(ctx, e, http.MethodPost, "/v1/completions", "reading-room-key", "", string(body))
+	want, _ := tokens.Answer(prompt, 40)
+	if r.status != http.StatusOK || !strings.Contains(r.body, want) {
+		t.Fatalf("completion: status %d, error %v, body %s", r.status, r.err, r.body)
+	}
+	if r.header.Get("X-Request-Id") == "" {
+		t.Error("the answer has no request id")
+	}
+	for range 2 {
+		r = call(ctx, e, http.MethodPost, "/services/request-desk/holds", "reading-room-key", "hold-1", `{"Folio":7}`)
+		if r.status != http.StatusOK || !strings.Contains(r.body, `"Runs":1`) {
+			t.Fatalf("hold: status %d, error %v, body %s", r.status, r.err, r.body)
+		}
+	}
+	r = call(ctx, e, http.MethodPost, "/services/request-desk/holds", "reading-room-key", "hold-1", `{"Folio":8}`)
+	if r.status != http.StatusUnprocessableEntity || !strings.Contains(r.body, `"code":"conflict"`) {
+		t.Fatalf("other body under the same key: status %d, body %s", r.status, r.body)
+	}
+	r = call(ctx, e, http.MethodGet, "/services/request-desk/catalogue/1", "nobody", "", "")
+	if r.status != http.StatusForbidden || !strings.Contains(r.body, `"code":"not_allowed"`) {
+		t.Fatalf("unknown caller: status %d, body %s", r.status, r.body)
+	}
+}
