Declare failure domains and service endpoints in the document

The document had neither places nor the number of a service's endpoints, and an endpoint in any place got work.

Ruled out: checking the domain at the agent only (an entry would still offer it work and be refused each time).

The path test reads a streamed chat answer as well.

The number of endpoints is declared; nothing acts on a service that has fewer.

--- a/controls/view.go
+++ b/controls/view.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -196,7 +197,7 @@
 	v.revision = revision
 	v.pools = map[Pool][]*controlv1.Member{}
 	for _, m := range v.members {
-		if m.GetState() != controlv1.MemberState_MEMBER_STATE_SERVING {
+		if !v.serves(m) {
 			continue
 		}
 		p := Pool{Serves: m.GetServes(), Role: m.GetRole()}
@@ -206,6 +207,15 @@
 	v.changed = make(chan struct{})
 }
 
+// serves reports whether a member takes new work: it is not leaving, and the
+// document declares its failure domain.
+func (v *View) serves(m *controlv1.Member) bool {
+	if m.GetState() != controlv1.MemberState_MEMBER_STATE_SERVING || v.document == nil {
+		return false
+	}
+	return slices.Contains(v.document.FailureDomains, m.GetFailureDomain())
+}
+
 // Revision returns the revision of the last change applied.
 func (v *View) Revision() uint64 {
 	v.mu.RLock()
--- a/document/check.go
+++ b/document/check.go
@@ -55,6 +55,7 @@
 	if d.Level > Level {
 		c.add("Level", d.Level, fmt.Sprintf("at most %d, the level of this build", Level))
 	}
+	d.checkDomains(c)
 	served := map[string]string{}
 	for i, m := range d.Models {
 		m.check(c, fmt.Sprintf("Models[%d]", i))
@@ -77,6 +78,18 @@
 	return c.faults
 }
 
+func (d *Document) checkDomains(c *checker) {
+	if len(d.FailureDomains) == 0 {
+		c.add("FailureDomains", "none", "at least one failure domain")
+	}
+	seen := map[string]string{}
+	for i, f := range d.FailureDomains {
+		at := fmt.Sprintf("FailureDomains[%d]", i)
+		c.name(at, f)
+		c.unique(seen, f, at)
+	}
+}
+
 func (c *checker) unique(seen map[string]string, v, field string) {
 	if first, ok := seen[v]; ok {
 		c.add(field, fmt.Sprintf("%q", v), "a value other than that of "+first)
@@ -102,6 +115,7 @@
 
 func (s Service) check(c *checker, at string) {
 	c.name(at+".Name", s.Name)
+	c.between(at+".Endpoints", s.Endpoints, 1, 100_000)
 	c.between(at+".Concurrency", s.Concurrency, 1, maxConcurrency)
 	if len(s.Calls) == 0 {
 		c.add(at+".Calls", "none", "at least one call")
--- a/document/document.go
+++ b/document/document.go
@@ -20,6 +20,9 @@
 	Number uint64
 	// Level is the feature level that a process needs to serve the document.
 	Level uint32
+	// FailureDomains is sorted; names are unique. A process in any other
+	// domain does not serve the environment.
+	FailureDomains []string
 	// Models is sorted by name; names are unique.
 	Models []Model
 	// Services is sorted by name; names are unique and differ from models'.
@@ -59,6 +62,8 @@
 type Service struct {
 	// Name is the first path element of its calls.
 	Name string
+	// Endpoints is the number of endpoints that serve it.
+	Endpoints int
 	// Concurrency bounds the calls in flight at one endpoint.
 	Concurrency int
 	// Calls lists what may be called; anything else is refused.
--- a/document/parse.go
+++ b/document/parse.go
@@ -155,6 +155,7 @@
 	orInt(&d.Retention.OperationsKept, defaultOperationsKept)
 	orDuration(&d.Retention.Strikes, defaultStrikes)
 	orInt(&d.Retention.Documents, defaultDocuments)
+	sort.Strings(d.FailureDomains)
 	sort.Slice(d.Models, func(i, j int) bool { return d.Models[i].Name < d.Models[j].Name })
 	sort.Slice(d.Services, func(i, j int) bool { return d.Services[i].Name < d.Services[j].Name })
 	sort.Slice(d.Callers, func(i, j int) bool { return d.Callers[i].Name < d.Callers[j].Name })
@@ -170,6 +171,7 @@
 }
 
 func (s *Service) resolve() {
+	orInt(&s.Endpoints, 1)
 	orInt(&s.Concurrency, defaultConcurrency)
 	for i := range s.Calls {
 		c := &s.Calls[i]
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -171,7 +171,7 @@
 	c.t.Helper()
 	p := &proc{name: name, program: "control", address: freeAddress(c.t), operators: freeAddress(c.t)}
 	c.start(p, controlSettings{
-		Name: name, FailureDomain: "a", Peers: p.address, Operators: p.operators, DataFolder: filepath.Join(c.dir, name+".data"),
+		Name: name, FailureDomain: "osu", Peers: p.address, Operators: p.operators, DataFolder: filepath.Join(c.dir, name+".data"),
 	})
 	c.controls = append(c.controls, p.address)
 	return p
@@ -190,7 +190,7 @@
 	c.t.Helper()
 	p := &proc{name: name, program: "entry", address: freeAddress(c.t), operators: freeAddress(c.t)}
 	return c.start(p, entrySettings{
-		Name: name, Environment: c.environment, FailureDomain: "a", Callers: p.address, Operators: p.operators, Controls: c.controls,
+		Name: name, Environment: c.environment, FailureDomain: "osu", Callers: p.address, Operators: p.operators, Controls: c.controls,
 	})
 }
 
@@ -208,7 +208,7 @@
 	c.t.Helper()
 	p := &proc{name: name, program: "agent", address: freeAddress(c.t), operators: freeAddress(c.t), endpoint: freeAddress(c.t)}
 	return c.start(p, agentSettings{
-		Name: name, Environment: c.environment, FailureDomain: "a", Peers: p.address, Endpoint: p.endpoint,
+		Name: name, Environment: c.environment, FailureDomain: "osu", Peers: p.address, Endpoint: p.endpoint,
 		Operators: p.operators, Controls: c.controls,
 	})
 }
--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -25,6 +25,24 @@
 	return c, e
 }
 
+// TestOtherDomain starts an endpoint in a failure domain that the document does
+// not declare: it joins and gets no work.
+func TestOtherDomain(t *testing.T) {
+	c := newCluster(t, "qantara-trial")
+	c.control("control-0")
+	c.submit("../examples/qantara.json")
+	e := c.entry("entry-0")
+	c.service("service-0", "bot-api", 0)
+	c.await(2, e)
+	r := call(context.Background(), e, http.MethodGet, "/services/bot-api/status/main", "ci-key", "", "")
+	if r.status != http.StatusServiceUnavailable || !strings.Contains(r.body, `"code":"not_run"`) {
+		t.Fatalf("status %d, body %s", r.status, r.body)
+	}
+	if r.header.Get("Retry-After") == "" {
+		t.Error("the refusal does not say when to come back")
+	}
+}
+
 // TestWholePath sends each kind of call through real processes.
 func TestWholePath(t *testing.T) {
 	_, e := archive(t)
@@ -41,6 +59,7 @@
 	if r.header.Get("X-Request-Id") == "" {
 		t.Error("the answer has no request id")
 	}
+	checkChat(ctx, t, e)
 	for range 2 {
 		r = call(ctx, e, http.MethodPost, "/services/request-desk/holds", "reading-room-key", "hold-1", `{"Folio":7}`)
 		if r.status != http.StatusOK || !strings.Contains(r.body, `"Runs":1`) {
@@ -56,3 +75,28 @@
 		t.Fatalf("unknown caller: status %d, body %s", r.status, r.body)
 	}
 }
+
+// checkChat asks for a streamed chat answer and reads its events.
+func checkChat(ctx context.Context, t *testing.T, e *proc) {
+	t.Helper()
+	const chat = `{"model":"summariser:deeds","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"summarise the deed"}]}`
+	r := call(ctx, e, http.MethodPost, "/v1/chat/completions", "reading-room-key", "", chat)
+	want, _ := tokens.Answer("user: summarise the deed\n", 20)
+	var got strings.Builder
+	for line := range strings.Lines(r.body) {
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		data, ok := strings.CutPrefix(line, "data: {")
+		if ok && json.Unmarshal([]byte("{"+data), &chunk) == nil {
+			got.WriteString(chunk.Choices[0].Delta.Content)
+		}
+	}
+	if got.String() != want || !strings.HasSuffix(r.body, "data: [DONE]\n\n") {
+		t.Fatalf("chat: status %d, error %v, body %s", r.status, r.err, r.body)
+	}
+}
