Put links with faults between real processes in tests

Cause: no test could make a connection silent, cut one direction, or slow a link between two real processes. Ruled out: toxiproxy alone, as it cannot silence the connections that are open while new ones work; a proxy all of our own, as the other faults are in toxiproxy. Change: a link before any process of the harness (control host, entry, agent, model engine): a small front of our own for silence, toxiproxy behind it for cuts, latency and rate. Agents take an optional Announced address, the stand-in engine too, so that peers reach them through a link. The module of the tests alone links toxiproxy. TestWholePath now runs through links. Conclusion: any link of a test can fail now.

--- a/cmd/agent/command.go
+++ b/cmd/agent/command.go
@@ -145,7 +145,7 @@
 	return &controlv1.Member{
 		Environment:   s.Environment,
 		Name:          s.Name,
-		Address:       s.Peers.String(),
+		Address:       s.Announced.String(),
 		FailureDomain: s.FailureDomain,
 		State:         controlv1.MemberState_MEMBER_STATE_SERVING,
 		DocumentLevel: document.Level,
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -60,6 +60,31 @@
 	dir         string
 	environment string
 	controls    []netip.AddrPort
+	// proxied tells by name the processes that are put behind a link before
+	// they start; links has their links. A model engine's name ends in
+	// "-engine". Members dial a control host through its link; the test's own
+	// client does not.
+	proxied map[string]bool
+	links   map[string]*link
+	// direct are the control hosts without their links.
+	direct []netip.AddrPort
+}
+
+// proxy names processes that are put behind a link when they start.
+func (c *cluster) proxy(names ...string) {
+	for _, n := range names {
+		c.proxied[n] = true
+	}
+}
+
+// reach returns where others find a process: its link if it has one.
+func (c *cluster) reach(name string, a netip.AddrPort) netip.AddrPort {
+	c.t.Helper()
+	if !c.proxied[name] {
+		return a
+	}
+	c.links[name] = newLink(c.t, name, a)
+	return c.links[name].address
 }
 
 // proc is one process.
@@ -82,7 +107,7 @@
 
 func newCluster(t *testing.T, environment string) *cluster {
 	t.Helper()
-	return &cluster{t: t, dir: t.TempDir(), environment: environment}
+	return &cluster{t: t, dir: t.TempDir(), environment: environment, proxied: map[string]bool{}, links: map[string]*link{}}
 }
 
 // freeAddress returns a loopback address that nobody listens on.
@@ -173,7 +198,8 @@
 	c.start(p, controlSettings{
 		Name: name, FailureDomain: "osu", Peers: p.address, Operators: p.operators, DataFolder: filepath.Join(c.dir, name+".data"),
 	})
-	c.controls = append(c.controls, p.address)
+	c.direct = append(c.direct, p.address)
+	c.controls = append(c.controls, c.reach(name, p.address))
 	return p
 }
 
@@ -189,9 +215,11 @@
 func (c *cluster) entry(name string) *proc {
 	c.t.Helper()
 	p := &proc{name: name, program: "entry", address: freeAddress(c.t), operators: freeAddress(c.t)}
-	return c.start(p, entrySettings{
+	c.start(p, entrySettings{
 		Name: name, Environment: c.environment, FailureDomain: "osu", Callers: p.address, Operators: p.operators, Controls: c.controls,
 	})
+	p.address = c.reach(name, p.address)
+	return p
 }
 
 type agentSettings struct {
@@ -199,6 +227,7 @@
 	Environment   string
 	FailureDomain string
 	Peers         netip.AddrPort
+	Announced     netip.AddrPort
 	Endpoint      netip.AddrPort
 	Operators     netip.AddrPort
 	Controls      []netip.AddrPort
@@ -208,7 +237,7 @@
 	c.t.Helper()
 	p := &proc{name: name, program: "agent", address: freeAddress(c.t), operators: freeAddress(c.t), endpoint: freeAddress(c.t)}
 	return c.start(p, agentSettings{
-		Name: name, Environment: c.environment, FailureDomain: "osu", Peers: p.address, Endpoint: p.endpoint,
+		Name: name, Environment: c.environment, FailureDomain: "osu", Peers: p.address, Announced: c.reach(name, p.address), Endpoint: p.endpoint,
 		Operators: p.operators, Controls: c.controls,
 	})
 }
@@ -217,6 +246,7 @@
 // leaves the stand-in's default.
 type engineSettings struct {
 	Address                netip.AddrPort
+	Announced              netip.AddrPort
 	Agent                  netip.AddrPort
 	Role                   string
 	Model                  string
@@ -235,6 +265,7 @@
 	agent = c.agent(name)
 	engine = &proc{name: name + "-engine", program: "engine", address: freeAddress(c.t), history: filepath.Join(c.dir, name+".history")}
 	s.Address, s.Agent, s.Role, s.Model, s.HistoryFile = engine.address, agent.endpoint, role, model, engine.history
+	s.Announced = c.reach(engine.name, engine.address)
 	c.start(engine, s)
 	return agent, engine
 }
@@ -260,7 +291,7 @@
 
 // client returns a client for the control hosts.
 func (c *cluster) client() *controls.Client {
-	return controls.NewClient(transport.NewClient(), c.controls)
+	return controls.NewClient(transport.NewClient(), c.direct)
 }
 
 // submit submits a file of examples.
--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -15,6 +15,7 @@
 func archive(t *testing.T) (*cluster, *proc) {
 	t.Helper()
 	c := newCluster(t, "archive-trial")
+	c.proxy("control-0", "entry-0", "prefill-0", "prefill-0-engine", "decode-0", "decode-0-engine", "service-0")
 	c.control("control-0")
 	c.submit("../examples/archive.json")
 	e := c.entry("entry-0")
--- /dev/null
+++ b/proof/proxy_test.go
@@ -0,0 +1,278 @@
+package proof
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+)
+
+// direction is one way of a connection, by toxiproxy's names.
+type direction string
+
+const (
+	// toServer is from the side that dialled, toClient the way back.
+	toServer direction = "upstream"
+	toClient direction = "downstream"
+)
+
+// link is a fault-injecting proxy between two ends. A front of our own can
+// silence the connections that are open, which toxiproxy cannot; all other
+// faults are toxiproxy's.
+type link struct {
+	t *testing.T
+	// address is where the dialling side finds the link.
+	address  netip.AddrPort
+	listener net.Listener
+	proxy    *toxiproxy.Proxy
+
+	mu    sync.Mutex
+	conns map[*pair]bool
+}
+
+// pair is one connection through the front.
+type pair struct {
+	client net.Conn
+	server net.Conn
+	// silent maps a direction to whether its bytes are swallowed.
+	silentToServer atomic.Bool
+	silentToClient atomic.Bool
+}
+
+// toxic is toxiproxy's message for one fault.
+type toxic struct {
+	Name       string          `json:"name"`
+	Type       string          `json:"type"`
+	Stream     direction       `json:"stream"`
+	Attributes toxicAttributes `json:"attributes"`
+}
+
+type toxicAttributes struct {
+	// Timeout and Latency are in milliseconds, Rate in KB/s.
+	Timeout int `json:"timeout"`
+	Latency int `json:"latency,omitempty"`
+	Rate    int `json:"rate,omitempty"`
+}
+
+// newLink puts a proxy before an address.
+func newLink(t *testing.T, name string, upstream netip.AddrPort) *link {
+	t.Helper()
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	p := toxiproxy.NewProxy(server, name, "127.0.0.1:0", upstream.String())
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &link{t: t, address: listener.Addr().(*net.TCPAddr).AddrPort(), listener: listener, proxy: p, conns: map[*pair]bool{}}
+	go l.accept()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		l.sever()
+		p.Stop()
+	})
+	return l
+}
+
+func (l *link) accept() {
+	for {
+		client, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		server, err := net.Dial("tcp", l.proxy.Listen)
+		if err != nil {
+			_ = client.Close()
+			continue
+		}
+		p := &pair{client: client, server: server}
+		l.mu.Lock()
+		l.conns[p] = true
+		l.mu.Unlock()
+		go l.pump(p, p.server, p.client, &p.silentToServer)
+		go l.pump(p, p.client, p.server, &p.silentToClient)
+	}
+}
+
+// pump copies one direction. A silent direction swallows bytes and its end
+// too, as a lost entry in a table of connections would.
+func (l *link) pump(p *pair, to, from net.Conn, silent *atomic.Bool) {
+	b := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(b)
+		if silent.Load() {
+			if err != nil {
+				return
+			}
+			continue
+		}
+		if n > 0 {
+			if _, werr := to.Write(b[:n]); werr != nil {
+				err = werr
+			}
+		}
+		if err != nil {
+			l.end(p)
+			return
+		}
+	}
+}
+
+func (l *link) end(p *pair) {
+	_ = p.client.Close()
+	_ = p.server.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, p)
+}
+
+func (l *link) open() []*pair {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*pair
+	for p := range l.conns {
+		out = append(out, p)
+	}
+	return out
+}
+
+// silence makes the open connections silent for good in the directions given;
+// new connections work.
+func (l *link) silence(ways ...direction) {
+	for _, p := range l.open() {
+		for _, w := range ways {
+			if w == toServer {
+				p.silentToServer.Store(true)
+			} else {
+				p.silentToClient.Store(true)
+			}
+		}
+	}
+}
+
+// sever closes the open connections.
+func (l *link) sever() {
+	for _, p := range l.open() {
+		l.end(p)
+	}
+}
+
+// cut swallows what goes in the directions given, on new connections too,
+// until heal.
+func (l *link) cut(ways ...direction) {
+	l.t.Helper()
+	for _, w := range ways {
+		l.add(toxic{Name: "cut-" + string(w), Type: "timeout", Stream: w})
+	}
+}
+
+// delay adds a latency to a direction until heal.
+func (l *link) delay(w direction, d time.Duration) {
+	l.t.Helper()
+	l.add(toxic{Name: "delay-" + string(w), Type: "latency", Stream: w, Attributes: toxicAttributes{Latency: int(d.Milliseconds())}})
+}
+
+// throttle limits the rate of a direction until heal.
+func (l *link) throttle(w direction, kilobytesPerSecond int) {
+	l.t.Helper()
+	l.add(toxic{Name: "throttle-" + string(w), Type: "bandwidth", Stream: w, Attributes: toxicAttributes{Rate: kilobytesPerSecond}})
+}
+
+func (l *link) add(x toxic) {
+	l.t.Helper()
+	b, err := json.Marshal(x)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	if _, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(string(b))); err != nil {
+		l.t.Fatal(err)
+	}
+}
+
+// heal removes all faults but silence, which is for good. Connections that
+// were cut are closed.
+func (l *link) heal() {
+	l.proxy.Toxics.ResetToxics(l.t.Context())
+}
+
+// TestLink checks the proxy itself.
+func TestLink(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go echo(listener)
+	l := newLink(t, "echo", listener.Addr().(*net.TCPAddr).AddrPort())
+	old := dial(t, l)
+	if !answers(old) {
+		t.Fatal("an open connection does not answer")
+	}
+	l.silence(toClient)
+	if answers(old) {
+		t.Error("a silenced connection answers")
+	}
+	if !answers(dial(t, l)) {
+		t.Error("a new connection does not answer after silence")
+	}
+	l.cut(toServer)
+	if answers(dial(t, l)) {
+		t.Error("a cut link answers")
+	}
+	l.heal()
+	l.delay(toClient, 50*time.Millisecond)
+	l.throttle(toServer, 100)
+	start := time.Now()
+	if !answers(dial(t, l)) || time.Since(start) < 50*time.Millisecond {
+		t.Error("a slow link does not answer late")
+	}
+	l.heal()
+	again := dial(t, l)
+	if !answers(again) {
+		t.Error("a healed link does not answer")
+	}
+	l.sever()
+	if answers(again) {
+		t.Error("a severed connection answers")
+	}
+}
+
+func echo(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() { _, _ = io.Copy(c, c) }()
+	}
+}
+
+func dial(t *testing.T, l *link) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", l.address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// answers reports whether a byte comes back soon.
+func answers(c net.Conn) bool {
+	if _, err := c.Write([]byte("x")); err != nil {
+		return false
+	}
+	_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	n, _ := c.Read(make([]byte, 1))
+	return n == 1
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -72,6 +72,9 @@
 	c.address("Endpoint", s.Endpoint)
 	c.address("Operators", s.Operators)
 	c.addresses("Controls", s.Controls)
+	if !s.Announced.IsValid() {
+		s.Announced = s.Peers
+	}
 	return s, c.result(file)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -42,6 +42,8 @@
 	FailureDomain string
 	// Peers is the address on which entries are served.
 	Peers netip.AddrPort
+	// Announced is where entries reach Peers; it is Peers unless set.
+	Announced netip.AddrPort
 	// Endpoint is the address on which the endpoint announces itself.
 	Endpoint netip.AddrPort
 	// Operators is the address for metrics.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -118,7 +118,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return endpoints.Announcement{
-		Address:       e.settings.Address,
+		Address:       e.settings.Announced,
 		Instance:      e.instance,
 		Role:          e.role,
 		Serves:        e.settings.Model,
--- a/standin/engine/main.go
+++ b/standin/engine/main.go
@@ -20,6 +20,8 @@
 // Settings is the settings file.
 type Settings struct {
 	Address netip.AddrPort
+	// Announced is where calls reach Address; it is Address unless set.
+	Announced netip.AddrPort
 	// Agent is where the engine announces itself.
 	Agent    netip.AddrPort
 	Role     string
@@ -72,6 +74,9 @@
 	if err := json.Unmarshal(b, &s); err != nil {
 		return err
 	}
+	if !s.Announced.IsValid() {
+		s.Announced = s.Address
+	}
 	e, err := newEngine(s)
 	if err != nil {
 		return err
