Measure goodput and wasted prefill under load

Cause: nothing measured the policy; the load tool knew no bound, and the stand-in's link and memory were kinder than an engine's. Ruled out: counting the calls of the first and last seconds, as an empty system flatters them; counting a call that came back from its last send. The load tool states the bound of the engines, reads their waste counters, and counts the router's processor time. The engine's link sends no second of traffic at once, memory is taken before the transfer, and a prefill that was cut short counts as wasted. The baselines compute first and wait for memory after; until now they reserved.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,6 @@
 MODULES  := . proof $(PROGRAMS:%=cmd/%) $(STANDINS:%=standin/%)
 PACKAGES := $(MODULES:%=./%/...)
 LINT     := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
-SEED     ?= 1
 SEEDS    ?= 20
 
 .PHONY: build demo test lint format generate proof bench
@@ -37,7 +36,8 @@
 
 # Histories of real processes under failures; SEED=n repeats a run.
 proof: build
-	@go test -count=1 -v -timeout 60m ./proof/... -args -seed $(SEED) -seeds $(SEEDS)
+	@go test -count=1 -v -timeout 60m ./proof/... -args -seed $(or $(SEED),1) -seeds $(SEEDS)
 
-bench:
-	@echo "nothing to measure yet"
+# The policy under load and faults; CASE, DEPLOYMENT, POLICY, SEED choose runs.
+bench: build
+	@scripts/bench.sh
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -159,6 +159,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	at := g.attempt(s.name)
+	if !s.policy.Reserves() {
+		return s.tryUnreserved(ctx, g, at)
+	}
 	held, err := s.reserve(ctx, g, at)
 	if err != nil {
 		return err
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -39,13 +39,16 @@
 	// Prefill returns the index of the endpoint to compute a prompt, or -1
 	// when there is none.
 	Prefill(c Candidates, prefix uint64) int
+	// Reserves reports whether decode memory is promised before the prefill
+	// starts; otherwise a computed prompt waits for memory.
+	Reserves() bool
 }
 
 // Names of the policies.
 const (
 	// Reserve samples endpoints and binds to the first that promises memory.
 	Reserve = "reserve"
-	// RoundRobin and LeastLoaded are baselines.
+	// RoundRobin and LeastLoaded are baselines without reservation.
 	RoundRobin  = "round-robin"
 	LeastLoaded = "least-loaded"
 )
@@ -88,6 +91,11 @@
 	return picked[:min(asked, len(picked))]
 }
 
+// Reserves is true.
+func (reserve) Reserves() bool {
+	return true
+}
+
 // Prefill prefers the endpoint that a prefix hashes to, whose cache is likely
 // to hold it, unless it is crowded.
 func (reserve) Prefill(c Candidates, prefix uint64) int {
@@ -124,6 +132,11 @@
 	return int(p.prefill.Add(1) % uint64(c.Len()))
 }
 
+// Reserves is false.
+func (*roundRobin) Reserves() bool {
+	return false
+}
+
 // leastLoaded takes the endpoint with the least reported load of all.
 type leastLoaded struct{}
 
@@ -141,6 +154,11 @@
 	return least(c)
 }
 
+// Reserves is false.
+func (leastLoaded) Reserves() bool {
+	return false
+}
+
 func least(c Candidates) int {
 	best := rand.IntN(c.Len())
 	for i := range c.Len() {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -19,7 +19,10 @@
 	// tokenRing bounds the tokens that a slow reader may leave unread before
 	// its request is held back.
 	tokenRing = 64
-	fileMode  = 0o640
+	// linkChunksPerSecond sets the size of the chunks of a transfer, which is
+	// also what an idle link may send at once.
+	linkChunksPerSecond = 100
+	fileMode            = 0o640
 )
 
 // engine is the whole state of the stand-in.
@@ -35,7 +38,7 @@
 	version  string
 	adapters []string
 	fence    uint64
-	// sequences are the imported requests; the sum of their pieces never
+	// sequences are the requests that have memory; the sum of their pieces never
 	// exceeds the memory.
 	sequences map[string]*sequence
 	used      int
@@ -50,10 +53,12 @@
 	history    *json.Encoder
 }
 
-// sequence is an imported request.
+// sequence is a request that has memory.
 type sequence struct {
 	prompt string
 	pieces int
+	// imported is false until the transfer has ended.
+	imported bool
 	// next is the position of the next token, and limit that of the end.
 	next  int
 	limit int
@@ -76,7 +81,7 @@
 	e := &engine{
 		settings:   s,
 		instance:   rand.Text(),
-		link:       rate.NewLimiter(rate.Limit(s.LinkBytesPerSecond), s.LinkBytesPerSecond),
+		link:       rate.NewLimiter(rate.Limit(s.LinkBytesPerSecond), s.LinkBytesPerSecond/linkChunksPerSecond),
 		role:       s.Role,
 		version:    s.Version,
 		adapters:   s.Adapters,
@@ -86,7 +91,6 @@
 		cache:      prefixCache{limit: s.CacheTokens},
 		history:    json.NewEncoder(os.Stdout),
 	}
-	e.link.AllowN(time.Now(), s.LinkBytesPerSecond)
 	if s.HistoryFile == "" {
 		e.history = nil
 		return e, nil
@@ -130,27 +134,49 @@
 	}
 }
 
-// place puts an imported request into memory. It reports false when there is
-// no room.
-func (e *engine) place(c engines.ImportCall, x engines.Export) bool {
+// allocate takes memory for a request before its transfer starts. It reports
+// false when there is no room.
+func (e *engine) allocate(c engines.ImportCall) (*sequence, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.dropSequence(c.Request)
 	if e.used+c.Pieces > e.settings.MemoryPieces {
-		return false
+		return nil, false
 	}
-	e.dropSequence(c.Request)
+	q := &sequence{pieces: c.Pieces}
 	e.used += c.Pieces
-	e.sequences[c.Request] = &sequence{prompt: x.Prompt, pieces: c.Pieces, next: x.Position}
+	e.sequences[c.Request] = q
+	return q, true
+}
+
+// place fills in an allocated sequence after its transfer. It reports false
+// when the request was cancelled meanwhile.
+func (e *engine) place(c engines.ImportCall, q *sequence, x engines.Export) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.sequences[c.Request] != q {
+		return false
+	}
+	q.prompt, q.next, q.imported = x.Prompt, x.Position, true
 	e.note("Import", c.Request, x.Tokens)
 	return true
 }
 
+// abandon gives back the memory of a transfer that failed.
+func (e *engine) abandon(c engines.ImportCall, q *sequence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.sequences[c.Request] == q {
+		e.dropSequence(c.Request)
+	}
+}
+
 // begin starts the decode of an imported request.
 func (e *engine) begin(c engines.DecodeCall) (<-chan engines.Token, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	q := e.sequences[c.Request]
-	if q == nil || q.out != nil {
+	if q == nil || !q.imported || q.out != nil {
 		return nil, false
 	}
 	q.next = c.FromPosition
--- a/standin/engine/prefill.go
+++ b/standin/engine/prefill.go
@@ -118,7 +118,9 @@
 	case <-t.ready:
 	}
 	n, cached := e.work(c)
+	start := time.Now()
 	if !spend(ctx, time.Duration(n-cached)*time.Second/time.Duration(e.settings.PrefillTokensPerSecond)) {
+		e.cutShort(c, n-cached, time.Since(start))
 		return engines.PrefillResult{}, ctx.Err()
 	}
 	return e.export(c, n, cached), nil
@@ -135,6 +137,17 @@
 	return n, cached
 }
 
+// cutShort counts the part of a prefill that was done before it was cancelled:
+// all of it is wasted.
+func (e *engine) cutShort(c engines.PrefillCall, planned int, spent time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	done := min(planned, int(spent.Seconds()*float64(e.settings.PrefillTokensPerSecond)))
+	e.load.PrefillTokens -= uint64(planned - done)
+	e.load.WastedTokens += uint64(done)
+	e.note("Wasted", c.Request, done)
+}
+
 func spend(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/standin/engine/routes.go
+++ b/standin/engine/routes.go
@@ -100,7 +100,7 @@
 func (e *engine) transfer(ctx context.Context, x *export) error {
 	left := (x.tokens + x.position) * e.settings.BytesPerToken
 	for left > 0 {
-		n := min(left, e.settings.LinkBytesPerSecond)
+		n := min(left, e.link.Burst())
 		if err := e.link.WaitN(ctx, n); err != nil {
 			return err
 		}
@@ -114,13 +114,19 @@
 	if !read(w, r, &c) {
 		return
 	}
+	q, ok := e.allocate(c)
+	if !ok {
+		http.Error(w, "no memory", http.StatusInsufficientStorage)
+		return
+	}
 	x, status := fetch(r.Context(), c)
 	if status != http.StatusOK {
+		e.abandon(c, q)
 		http.Error(w, "export is gone", status)
 		return
 	}
-	if !e.place(c, x) {
-		http.Error(w, "no memory", http.StatusInsufficientStorage)
+	if !e.place(c, q, x) {
+		http.Error(w, "cancelled", http.StatusConflict)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/standin/load/call.go
+++ b/standin/load/call.go
@@ -48,6 +48,7 @@
 	key    string
 	// hangUp is after how many tokens the caller goes away; zero is never.
 	hangUp int
+	sent   time.Time
 }
 
 const (
@@ -85,7 +86,9 @@
 }
 
 // do makes the call, and comes back after refusals as long as the plan says.
+// Latencies count from the first send.
 func (c *call) do() outcome {
+	c.sent = time.Now()
 	end := time.Now().Add(time.Duration(c.run.plan.GiveUpSeconds * float64(time.Second)))
 	for {
 		o := c.once()
@@ -132,7 +135,6 @@
 	if err != nil {
 		return outcome{kind: broken}
 	}
-	start := time.Now()
 	res, err := c.request(ctx, http.MethodPost, "/v1/completions", b)
 	if err != nil {
 		return outcome{kind: broken}
@@ -142,9 +144,9 @@
 		return refusal(res)
 	}
 	if c.stream.Whole {
-		return c.readWhole(res.Body, start)
+		return c.readWhole(res.Body, c.sent)
 	}
-	return c.readStream(res.Body, start)
+	return c.readStream(res.Body, c.sent)
 }
 
 // refusal reads a refusal, which is honest only with a code.
--- a/standin/load/main.go
+++ b/standin/load/main.go
@@ -28,7 +28,7 @@
 		log.Fatal(err)
 	}
 	fmt.Println(string(line))
-	if r.lost() > 0 {
+	if r.lostCalls > 0 {
 		os.Exit(1)
 	}
 }
--- a/standin/load/plan.go
+++ b/standin/load/plan.go
@@ -12,8 +12,18 @@
 	Deployment string
 	Entries    []netip.AddrPort
 	// Seconds is how long calls are sent; answers are awaited without limit.
-	Seconds float64
-	Streams []Stream
+	// Calls of the first WarmupSeconds and the last CooldownSeconds are load
+	// only, and are counted nowhere but as lost.
+	Seconds         float64
+	WarmupSeconds   float64
+	CooldownSeconds float64
+	// Capacity is the size of the engines; it sets the bound.
+	Capacity Capacity
+	// PrefillEngines are asked for their counters when all calls have ended.
+	PrefillEngines []netip.AddrPort
+	// RouterProcesses are process ids whose processor time is counted.
+	RouterProcesses []int
+	Streams         []Stream
 	// FirstTokenMilliseconds and BetweenTokensMilliseconds are the targets;
 	// the first one comes on top of the prompt's own prefill time.
 	FirstTokenMilliseconds    float64
@@ -32,6 +42,13 @@
 	// Key is the caller's key.
 	Key           string
 	RatePerSecond float64
+	// CapacityShare is the rate as a share of the engines' bound, for a
+	// stream of completions without a RatePerSecond.
+	CapacityShare float64
+	// FromSeconds and ToSeconds bound when calls are sent; both zero means
+	// always.
+	FromSeconds float64
+	ToSeconds   float64
 	// Model is set for completions. PromptTokens are the bounds of a prompt's
 	// length, and SharedPercent the share of prompts with one common prefix of
 	// SharedTokens.
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -12,43 +12,68 @@
 
 // result is the JSON line of a run.
 type result struct {
-	Case          string
-	Deployment    string
-	Policy        string
-	Seed          uint64
-	Offered       int
-	Goodput       float64
+	Case       string
+	Deployment string
+	Policy     string
+	Seed       uint64
+	Offered    int
+	// Bound and Goodput are in requests per second, OfBound is their quotient.
+	Bound   float64
+	Goodput float64
+	OfBound float64
+	// WastedPrefill is a share of all prefill work.
 	WastedPrefill float64
 	Refused       int
 	Lost          int
 	// FirstTokenP95 and BetweenTokensP95 are in milliseconds.
 	FirstTokenP95    float64
 	BetweenTokensP95 float64
+	// Late is the share of calls with a deadline that missed it.
+	Late float64
+	// RouterMicrosecondsPerToken is processor time of the router's processes.
+	RouterMicrosecondsPerToken float64
 }
 
 // result sums up the completions. The label's fields are taken over.
 func (r *run) result(label string) result {
-	out := result{Deployment: r.plan.Deployment, Seed: r.seed, Lost: r.lost()}
+	out := result{Deployment: r.plan.Deployment, Seed: r.seed, Lost: r.lostCalls}
 	if label != "" {
 		_ = json.Unmarshal([]byte(label), &out)
 	}
-	all := newTally()
+	all, bounded := newTally(), newTally()
 	for _, s := range r.plan.Streams {
+		t := r.tallies[s.Name]
+		if s.DeadlineMilliseconds > 0 {
+			bounded.Offered += t.Offered
+			bounded.Late += t.Late
+		}
 		if s.Model == "" {
 			continue
 		}
-		t := r.tallies[s.Name]
+		out.Bound = max(out.Bound, r.plan.Capacity.bound(s))
 		out.Offered += t.Offered
 		out.Refused += t.Refused
-		out.Goodput += float64(t.Good) / r.plan.Seconds
+		out.Goodput += float64(t.Good) / r.plan.counted()
 		all.firstToken.Merge(t.firstToken)
 		all.betweenTokens.Merge(t.betweenTokens)
 	}
 	out.FirstTokenP95 = float64(all.firstToken.ValueAtQuantile(95)) / microsecondsPerMillisecond
 	out.BetweenTokensP95 = float64(all.betweenTokens.ValueAtQuantile(95)) / microsecondsPerMillisecond
+	out.OfBound = quotient(out.Goodput, out.Bound)
+	out.Late = quotient(float64(bounded.Late), float64(bounded.Offered))
+	out.RouterMicrosecondsPerToken = quotient(float64(r.cpu.Microseconds()), float64(r.tokens))
+	out.WastedPrefill = r.plan.wastedPrefill()
 	return out
 }
 
+// quotient is zero where there is nothing to divide by.
+func quotient(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
 // table prints a row for each stream.
 func (r *run) table() string {
 	var b strings.Builder
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -27,6 +27,12 @@
 	tallies map[string]*tally
 	// shown is how many answers may still be printed.
 	shown int
+	// lostCalls counts calls without a whole answer or an honest refusal, and
+	// tokens those of all calls.
+	lostCalls int
+	tokens    int
+	// cpu is the processor time that the router's processes took.
+	cpu time.Duration
 }
 
 // tally is what came of the calls of one stream.
@@ -65,6 +71,8 @@
 
 // play sends all streams and waits for all answers.
 func (r *run) play() {
+	before := r.plan.usedCPU()
+	defer func() { r.cpu = r.plan.usedCPU() - before }()
 	var wg sync.WaitGroup
 	for i, s := range r.plan.Streams {
 		wg.Add(1)
@@ -80,27 +88,36 @@
 func (r *run) send(s Stream, random *rand.Rand) {
 	var wg sync.WaitGroup
 	start := time.Now()
-	at := time.Duration(0)
+	at := time.Duration(s.FromSeconds * float64(time.Second))
+	rate := r.plan.rate(s)
 	for n := 0; ; n++ {
-		at += time.Duration(random.ExpFloat64() / s.RatePerSecond * float64(time.Second))
-		if at.Seconds() > r.plan.Seconds {
+		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+		if at.Seconds() > r.plan.end(s) {
 			break
 		}
 		c := r.newCall(s, random, n)
 		time.Sleep(time.Until(start.Add(at)))
+		counted := r.plan.counts(at)
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			r.note(s, c.do())
+			r.note(s, c.do(), counted)
 		}()
 	}
 	wg.Wait()
 }
 
 // note counts what came of one call.
-func (r *run) note(s Stream, o outcome) {
+func (r *run) note(s Stream, o outcome, counted bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.tokens += len(o.gaps)
+	if o.kind == broken || o.kind == wrong {
+		r.lostCalls++
+	}
+	if !counted {
+		return
+	}
 	t := r.tallies[s.Name]
 	t.Offered++
 	switch o.kind {
@@ -129,15 +146,6 @@
 	}
 }
 
-// lost is the number of calls without a whole answer or an honest refusal.
-func (r *run) lost() int {
-	n := 0
-	for _, t := range r.tallies {
-		n += t.Broken + t.Wrong
-	}
-	return n
-}
-
 // mayShow reports whether one more answer may be printed.
 func (r *run) mayShow() bool {
 	r.mu.Lock()
--- a/standin/tokens/tokens.go
+++ b/standin/tokens/tokens.go
@@ -33,6 +33,16 @@
 	return minOutput + int(hash(prompt, -1)%outputSpread)
 }
 
+// MeanSteps returns the mean number of decode steps of an answer, the end
+// marker's step included.
+func MeanSteps(maxTokens int) float64 {
+	sum := 0
+	for n := minOutput; n < minOutput+outputSpread; n++ {
+		sum += min(n, maxTokens) + 1
+	}
+	return float64(sum) / outputSpread
+}
+
 func hash(prompt string, position int) uint64 {
 	d := xxhash.New()
 	_, _ = d.WriteString(prompt)
