Check documents and settings strictly, with all faults at once

Cause: the JSON decoder stopped at the first wrong type, took "number" for Number and the last of two equal fields, named an unknown field without its place and a wrong duration "Duration". Values were checked after sorting, so that Models[0] was not the first model of the file. Settings had the same, and did not see two fields with one address.

Ruled out: DisallowUnknownFields with a second pass for names, as it still ends at the first fault and knows no path. A JSON library of its own: the tokens of encoding/json are enough.

Change: package faults walks the tokens of a file along the type that it fills in and collects faults with paths; document and settings share it. Values are checked in the file's order. Repeated adapters, calls, models and services are refused. The resolved form is one line and has empty lists in place of null. check-settings says ok or exits with 2, as do the programs on wrong settings.

Safeguards taken out one at a time (repeated field, exact names, nesting, trailing text, size, order of lists, merging of faults, addresses that clash twice, port 0): each was seen failing in TestParse, TestParseLarge or TestRead.

Conclusion: all faults at once with field, value and expectation.

--- a/cmd/agent/command.go
+++ b/cmd/agent/command.go
@@ -40,14 +40,10 @@
 		},
 	}
 	c.PersistentFlags().StringVar(&file, "settings", "agent.json", "settings file")
-	c.AddCommand(&cobra.Command{
-		Use:   "check-settings",
-		Short: "Check the settings file and exit",
-		RunE: func(*cobra.Command, []string) error {
-			_, err := settings.ReadAgent(file)
-			return err
-		},
-	})
+	c.AddCommand(process.CheckSettings(func() error {
+		_, err := settings.ReadAgent(file)
+		return err
+	}))
 	return c
 }
 
--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -1,10 +1,12 @@
 // Command agent stands beside one endpoint and is the only way to it.
 package main
 
-import "os"
+import (
+	"os"
+
+	"ebonyreel/process"
+)
 
 func main() {
-	if err := newCommand().Execute(); err != nil {
-		os.Exit(1)
-	}
+	os.Exit(process.ExitCode(newCommand().Execute()))
 }
--- a/cmd/control/command.go
+++ b/cmd/control/command.go
@@ -29,14 +29,10 @@
 		},
 	}
 	c.PersistentFlags().StringVar(&file, "settings", "control.json", "settings file")
-	c.AddCommand(&cobra.Command{
-		Use:   "check-settings",
-		Short: "Check the settings file and exit",
-		RunE: func(*cobra.Command, []string) error {
-			_, err := settings.ReadControl(file)
-			return err
-		},
-	})
+	c.AddCommand(process.CheckSettings(func() error {
+		_, err := settings.ReadControl(file)
+		return err
+	}))
 	return c
 }
 
--- a/cmd/control/main.go
+++ b/cmd/control/main.go
@@ -1,10 +1,12 @@
 // Command control holds documents, membership and operation records.
 package main
 
-import "os"
+import (
+	"os"
+
+	"ebonyreel/process"
+)
 
 func main() {
-	if err := newCommand().Execute(); err != nil {
-		os.Exit(1)
-	}
+	os.Exit(process.ExitCode(newCommand().Execute()))
 }
--- a/cmd/ebonyreel/document.go
+++ b/cmd/ebonyreel/document.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -216,8 +218,7 @@
 			}
 			for i := len(all) - 1; i >= 0; i-- {
 				if number == 0 || all[i].GetNumber() == number {
-					_, err := c.OutOrStdout().Write(all[i].GetResolved())
-					return err
+					return printResolved(c.OutOrStdout(), all[i])
 				}
 			}
 			return &NoDocumentError{Environment: o.environment, Number: number}
@@ -226,3 +227,13 @@
 	c.Flags().Uint64Var(&number, "number", 0, "number of the document; zero is the one in force")
 	return c
 }
+
+// printResolved writes a document with a line for each field.
+func printResolved(w io.Writer, d *controlv1.Document) error {
+	var b bytes.Buffer
+	if err := json.Indent(&b, d.GetResolved(), "", "  "); err != nil {
+		return err
+	}
+	_, err := b.WriteTo(w)
+	return err
+}
--- a/cmd/entry/command.go
+++ b/cmd/entry/command.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 
 	"connectrpc.com/connect"
@@ -39,34 +38,17 @@
 		},
 	}
 	c.PersistentFlags().StringVar(&file, "settings", "entry.json", "settings file")
-	c.AddCommand(&cobra.Command{
-		Use:   "check-settings",
-		Short: "Check the settings file and exit",
-		RunE: func(*cobra.Command, []string) error {
-			_, err := settings.ReadEntry(file)
-			return err
-		},
-	})
+	c.AddCommand(process.CheckSettings(func() error {
+		_, err := settings.ReadEntry(file)
+		return err
+	}))
 	return c
 }
 
-// UnknownPolicyError reports a policy name that does not exist.
-type UnknownPolicyError struct {
-	Name string
-}
-
-// Error names the policy.
-func (e *UnknownPolicyError) Error() string {
-	return fmt.Sprintf("Policy: found %q, expected reserve, round-robin or least-loaded", e.Name)
-}
-
 // run starts the duties of an entry and waits for its planned stop.
 func run(s settings.Entry) error {
 	log := logs.New("entry", s.Name)
-	policy, ok := placement.New(s.Policy)
-	if !ok {
-		return &UnknownPolicyError{Name: s.Policy}
-	}
+	policy, _ := placement.New(s.Policy)
 	tracer, err := traces.Open(s.TraceFile, "entry", s.Name)
 	if err != nil {
 		return err
--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -1,10 +1,12 @@
 // Command entry takes calls from callers and places them on endpoints.
 package main
 
-import "os"
+import (
+	"os"
+
+	"ebonyreel/process"
+)
 
 func main() {
-	if err := newCommand().Execute(); err != nil {
-		os.Exit(1)
-	}
+	os.Exit(process.ExitCode(newCommand().Execute()))
 }
--- a/document/check.go
+++ b/document/check.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"ebonyreel/faults"
 )
 
 const (
@@ -15,14 +17,9 @@
 	maxConcurrency = 1_000_000
 )
 
-// checker collects faults.
+// checker collects faults of values.
 type checker struct {
-	// faults is in the order in which the fields were read.
-	faults []Fault
-}
-
-func (c *checker) add(field string, value any, expected string) {
-	c.faults = append(c.faults, Fault{Field: field, Value: fmt.Sprintf("%v", value), Expected: expected})
+	faults.List
 }
 
 func (c *checker) name(field, v string) {
@@ -31,29 +28,29 @@
 		ok = ok && (r == '-' || r == '_' || r == '.' || r >= '0' && r <= '9' || r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z')
 	}
 	if !ok {
-		c.add(field, fmt.Sprintf("%q", v), "1 to 64 letters, digits, dots, dashes and underscores")
+		c.Text(field, v, "1 to 64 letters, digits, dots, dashes and underscores")
 	}
 }
 
 func (c *checker) between(field string, v, low, high int) {
 	if v < low || v > high {
-		c.add(field, v, fmt.Sprintf("a number from %d to %d", low, high))
+		c.Add(field, v, fmt.Sprintf("a number from %d to %d", low, high))
 	}
 }
 
 func (c *checker) positive(field string, v Duration) {
 	if v <= 0 {
-		c.add(field, time.Duration(v), "a duration above zero")
+		c.Add(field, time.Duration(v), "a duration above zero")
 	}
 }
 
-func (d *Document) check() []Fault {
+func (d *Document) check() []faults.Fault {
 	c := &checker{}
 	if d.Number == 0 {
-		c.add("Number", d.Number, "a number from 1")
+		c.Add("Number", d.Number, "a number from 1")
 	}
 	if d.Level > Level {
-		c.add("Level", d.Level, fmt.Sprintf("at most %d, the level of this build", Level))
+		c.Add("Level", d.Level, fmt.Sprintf("at most %d, the level of this build", Level))
 	}
 	d.checkDomains(c)
 	served := map[string]string{}
@@ -75,12 +72,12 @@
 	c.positive("Retention.Strikes", d.Retention.Strikes)
 	c.between("Retention.OperationsKept", d.Retention.OperationsKept, 1, 10_000_000)
 	c.between("Retention.Documents", d.Retention.Documents, 1, 100_000)
-	return c.faults
+	return c.All
 }
 
 func (d *Document) checkDomains(c *checker) {
 	if len(d.FailureDomains) == 0 {
-		c.add("FailureDomains", "none", "at least one failure domain")
+		c.Add("FailureDomains", "none", "at least one failure domain")
 	}
 	seen := map[string]string{}
 	for i, f := range d.FailureDomains {
@@ -92,7 +89,7 @@
 
 func (c *checker) unique(seen map[string]string, v, field string) {
 	if first, ok := seen[v]; ok {
-		c.add(field, fmt.Sprintf("%q", v), "a value other than that of "+first)
+		c.Text(field, v, "a value other than that of "+first)
 		return
 	}
 	seen[v] = field
@@ -101,8 +98,11 @@
 func (m Model) check(c *checker, at string) {
 	c.name(at+".Name", m.Name)
 	c.name(at+".Version", m.Version)
+	adapters := map[string]string{}
 	for i, a := range m.Adapters {
-		c.name(fmt.Sprintf("%s.Adapters[%d]", at, i), a)
+		field := fmt.Sprintf("%s.Adapters[%d]", at, i)
+		c.name(field, a)
+		c.unique(adapters, a, field)
 	}
 	c.between(at+".Prefill", m.Prefill, 1, 100_000)
 	c.between(at+".Decode", m.Decode, 1, 100_000)
@@ -118,10 +118,13 @@
 	c.between(at+".Endpoints", s.Endpoints, 1, 100_000)
 	c.between(at+".Concurrency", s.Concurrency, 1, maxConcurrency)
 	if len(s.Calls) == 0 {
-		c.add(at+".Calls", "none", "at least one call")
+		c.Add(at+".Calls", "none", "at least one call")
 	}
+	calls := map[string]string{}
 	for i, a := range s.Calls {
-		a.check(c, fmt.Sprintf("%s.Calls[%d]", at, i))
+		field := fmt.Sprintf("%s.Calls[%d]", at, i)
+		a.check(c, field)
+		c.unique(calls, a.Method+" "+a.Path, field)
 	}
 }
 
@@ -129,10 +132,10 @@
 	switch a.Method {
 	case http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete:
 	default:
-		c.add(at+".Method", fmt.Sprintf("%q", a.Method), "GET, HEAD, POST, PUT, PATCH or DELETE")
+		c.Text(at+".Method", a.Method, "GET, HEAD, POST, PUT, PATCH or DELETE")
 	}
 	if !strings.HasPrefix(a.Path, "/") {
-		c.add(at+".Path", fmt.Sprintf("%q", a.Path), "a path that starts with a slash")
+		c.Text(at+".Path", a.Path, "a path that starts with a slash")
 	}
 	c.positive(at+".Timeout", a.Timeout)
 }
@@ -140,25 +143,30 @@
 func (a Caller) check(c *checker, at string, d *Document) {
 	c.name(at+".Name", a.Name)
 	if b, err := hex.DecodeString(a.KeyHash); err != nil || len(b) != keyHashBytes {
-		c.add(at+".KeyHash", fmt.Sprintf("%d characters", len(a.KeyHash)), "64 hexadecimal digits, the SHA-256 of the key")
+		c.Add(at+".KeyHash", fmt.Sprintf("%d characters", len(a.KeyHash)), "64 hexadecimal digits, the SHA-256 of the key")
 	}
+	uses := map[string]string{}
 	for i, v := range a.Models {
+		field := fmt.Sprintf("%s.Models[%d]", at, i)
 		if _, ok := d.Model(v); !ok {
-			c.add(fmt.Sprintf("%s.Models[%d]", at, i), fmt.Sprintf("%q", v), "the name of a model of this document")
+			c.Text(field, v, "the name of a model of this document")
 		}
+		c.unique(uses, v, field)
 	}
 	for i, v := range a.Services {
+		field := fmt.Sprintf("%s.Services[%d]", at, i)
 		if _, ok := d.Service(v); !ok {
-			c.add(fmt.Sprintf("%s.Services[%d]", at, i), fmt.Sprintf("%q", v), "the name of a service of this document")
+			c.Text(field, v, "the name of a service of this document")
 		}
+		c.unique(uses, v, field)
 	}
 	c.between(at+".Priority", a.Priority, 0, maxPriority)
 	c.between(at+".Burst", a.Burst, 1, maxConcurrency)
 	c.between(at+".Concurrency", a.Concurrency, 1, maxConcurrency)
-	if a.RatePerSecond < 0 {
-		c.add(at+".RatePerSecond", a.RatePerSecond, "a number above zero")
+	if a.RatePerSecond <= 0 || a.RatePerSecond > maxConcurrency {
+		c.Add(at+".RatePerSecond", a.RatePerSecond, fmt.Sprintf("a number above 0, at most %d", maxConcurrency))
 	}
 	if a.Patience < 0 {
-		c.add(at+".Patience", time.Duration(a.Patience), "zero or a duration above it")
+		c.Add(at+".Patience", time.Duration(a.Patience), "zero or a duration above it")
 	}
 }
--- a/document/duration.go
+++ b/document/duration.go
@@ -1,32 +1,30 @@
 package document
 
-import (
-	"encoding/json"
-	"time"
-)
+import "time"
 
 // Duration is a time.Duration that is written as text, such as "330ms".
 type Duration time.Duration
 
-// MarshalJSON writes the duration as text.
-func (d Duration) MarshalJSON() ([]byte, error) {
-	return json.Marshal(time.Duration(d).String())
+// MarshalText writes the duration as text.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
 }
 
-// UnmarshalJSON reads a duration from text.
-func (d *Duration) UnmarshalJSON(b []byte) error {
-	var s string
-	if err := json.Unmarshal(b, &s); err != nil {
-		return &DurationError{Value: string(b)}
-	}
-	v, err := time.ParseDuration(s)
+// UnmarshalText reads a duration from text.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
 	if err != nil {
-		return &DurationError{Value: s}
+		return &DurationError{Value: string(b)}
 	}
 	*d = Duration(v)
 	return nil
 }
 
+// Expected describes a duration.
+func (Duration) Expected() string {
+	return `a duration such as "330ms" or "24h"`
+}
+
 // DurationError reports a text that is no duration.
 type DurationError struct {
 	// Value is what was found.
--- a/document/parse.go
+++ b/document/parse.go
@@ -1,76 +1,56 @@
 package document
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"sort"
 	"strings"
-)
 
-const (
-	// MaxBytes is the size of the largest document that is read.
-	MaxBytes = 8 << 20
-	maxDepth = 16
+	"ebonyreel/faults"
 )
 
-// Fault is one thing that is wrong with a document.
-type Fault struct {
-	// Field is the path of the field, such as Models[0].Name.
-	Field string
-	// Value is what was found.
-	Value string
-	// Expected says what would have been right.
-	Expected string
-}
+// MaxBytes is the size of the largest document that is read.
+const MaxBytes = 32 << 20
 
 // CheckError reports everything that is wrong with a document.
 type CheckError struct {
 	// Faults has at least one element.
-	Faults []Fault
+	Faults []faults.Fault
 }
 
 // Error lists the faults.
 func (e *CheckError) Error() string {
-	parts := make([]string, 0, len(e.Faults))
-	for _, f := range e.Faults {
-		parts = append(parts, fmt.Sprintf("%s: found %s, expected %s", f.Field, f.Value, f.Expected))
-	}
-	return strings.Join(parts, "; ")
-}
-
-func fault(field, value, expected string) error {
-	return &CheckError{Faults: []Fault{{Field: field, Value: value, Expected: expected}}}
+	return faults.Join(e.Faults)
 }
 
 // Parse reads a document, refuses unknown fields and wrong values, and fills
-// in every default. The error is a *CheckError.
+// in every default. The error is a *CheckError with all faults; its fields are
+// paths in the document as it was written.
 func Parse(b []byte) (*Document, error) {
 	if len(b) > MaxBytes {
-		return nil, fault("Document", fmt.Sprintf("%d bytes", len(b)), fmt.Sprintf("at most %d bytes", MaxBytes))
-	}
-	if depth(b) > maxDepth {
-		return nil, fault("Document", "deeper nesting", fmt.Sprintf("at most %d levels", maxDepth))
+		return nil, single("JSON", fmt.Sprintf("%d bytes", len(b)), fmt.Sprintf("at most %d bytes", MaxBytes))
 	}
 	d := &Document{}
-	if err := decodeStrict(b, d); err != nil {
-		return nil, err
-	}
+	all := faults.Decode(b, d)
 	d.resolve()
-	if faults := d.check(); len(faults) > 0 {
-		return nil, &CheckError{Faults: faults}
+	if all = faults.Merge(all, d.check()); len(all) > 0 {
+		return nil, &CheckError{Faults: all}
 	}
+	d.sort()
 	d.index()
 	return d, nil
 }
 
-// Resolved returns the canonical bytes of a parsed document and their digest.
+func single(field, value, expected string) error {
+	return &CheckError{Faults: []faults.Fault{{Field: field, Value: value, Expected: expected}}}
+}
+
+// Resolved returns the canonical bytes of a parsed document, on one line, and
+// their digest. Parsing them gives the same bytes again.
 func (d *Document) Resolved() ([]byte, string, error) {
-	b, err := json.MarshalIndent(d, "", "  ")
+	b, err := json.Marshal(d)
 	if err != nil {
 		return nil, "", err
 	}
@@ -84,62 +64,7 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func decodeStrict(b []byte, d *Document) error {
-	dec := json.NewDecoder(bytes.NewReader(b))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(d); err != nil {
-		return explain(err)
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return fault("Document", "more text after the end", "one JSON object")
-	}
-	return nil
-}
-
-// explain turns an error of the JSON decoder into a fault with its field.
-func explain(err error) error {
-	var te *json.UnmarshalTypeError
-	if errors.As(err, &te) {
-		field := te.Field
-		if field == "" {
-			field = "Document"
-		}
-		return fault(field, te.Value, te.Type.String())
-	}
-	var de *DurationError
-	if errors.As(err, &de) {
-		return fault("Duration", de.Value, `text such as "330ms"`)
-	}
-	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
-		return fault(strings.Trim(name, `"`), "unknown field", "a field of the document format")
-	}
-	return fault("Document", err.Error(), "one JSON object")
-}
-
-// depth returns the deepest nesting of brackets outside of strings.
-func depth(b []byte) int {
-	deepest, now := 0, 0
-	quoted, escaped := false, false
-	for _, c := range b {
-		switch {
-		case escaped:
-			escaped = false
-		case quoted && c == '\\':
-			escaped = true
-		case c == '"':
-			quoted = !quoted
-		case quoted:
-		case c == '{' || c == '[':
-			now++
-			deepest = max(deepest, now)
-		case c == '}' || c == ']':
-			now--
-		}
-	}
-	return deepest
-}
-
-// resolve fills in the defaults and sorts what has no order of its own.
+// resolve fills in the defaults.
 func (d *Document) resolve() {
 	orUint32(&d.Level, defaultLevel)
 	for i := range d.Models {
@@ -155,7 +80,22 @@
 	orInt(&d.Retention.OperationsKept, defaultOperationsKept)
 	orDuration(&d.Retention.Strikes, defaultStrikes)
 	orInt(&d.Retention.Documents, defaultDocuments)
-	sort.Strings(d.FailureDomains)
+}
+
+// sort puts what has no order of its own into one, and makes lists that were
+// not written empty ones.
+func (d *Document) sort() {
+	d.FailureDomains = sorted(d.FailureDomains)
+	d.Models = append([]Model{}, d.Models...)
+	d.Services = append([]Service{}, d.Services...)
+	d.Callers = append([]Caller{}, d.Callers...)
+	for i := range d.Models {
+		d.Models[i].Adapters = sorted(d.Models[i].Adapters)
+	}
+	for i := range d.Callers {
+		d.Callers[i].Models = sorted(d.Callers[i].Models)
+		d.Callers[i].Services = sorted(d.Callers[i].Services)
+	}
 	sort.Slice(d.Models, func(i, j int) bool { return d.Models[i].Name < d.Models[j].Name })
 	sort.Slice(d.Services, func(i, j int) bool { return d.Services[i].Name < d.Services[j].Name })
 	sort.Slice(d.Callers, func(i, j int) bool { return d.Callers[i].Name < d.Callers[j].Name })
@@ -167,7 +107,6 @@
 	orInt(&m.BytesPerToken, defaultBytesPerToken)
 	orDuration(&m.FirstToken, defaultFirstToken)
 	orDuration(&m.BetweenTokens, defaultBetweenTokens)
-	sort.Strings(m.Adapters)
 }
 
 func (s *Service) resolve() {
@@ -187,8 +126,13 @@
 	orInt(&c.Burst, int(max(1, c.RatePerSecond)))
 	orInt(&c.Concurrency, defaultCallersInFlight)
 	c.KeyHash = strings.ToLower(c.KeyHash)
-	sort.Strings(c.Models)
-	sort.Strings(c.Services)
+}
+
+// sorted returns a sorted copy, which is empty and not nil for no values.
+func sorted(all []string) []string {
+	out := append([]string{}, all...)
+	sort.Strings(out)
+	return out
 }
 
 func orInt(v *int, def int) {
--- /dev/null
+++ b/faults/types.go
@@ -0,0 +1,107 @@
+package faults
+
+import (
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strconv"
+)
+
+// Expecter is a type that parses itself from text and says what it expects.
+type Expecter interface {
+	encoding.TextUnmarshaler
+	// Expected completes the sentence "expected ...".
+	Expected() string
+}
+
+// isText reports whether a value parses itself from text.
+func isText(v reflect.Value) bool {
+	_, ok := v.Addr().Interface().(encoding.TextUnmarshaler)
+	return ok
+}
+
+// set fills in a value from a token. It reports false when the token does not
+// fit the value's type.
+func set(v reflect.Value, tok json.Token) bool {
+	switch t := tok.(type) {
+	case string:
+		if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+			return u.UnmarshalText([]byte(t)) == nil
+		}
+		if v.Kind() != reflect.String {
+			return false
+		}
+		v.SetString(t)
+		return true
+	case bool:
+		if v.Kind() != reflect.Bool {
+			return false
+		}
+		v.SetBool(t)
+		return true
+	case json.Number:
+		return !isText(v) && setNumber(v, string(t))
+	}
+	return false
+}
+
+func setNumber(v reflect.Value, s string) bool {
+	switch v.Kind() {
+	case reflect.Float64:
+		f, err := strconv.ParseFloat(s, v.Type().Bits())
+		v.SetFloat(f)
+		return err == nil
+	case reflect.Uint32, reflect.Uint64:
+		u, err := strconv.ParseUint(s, 10, v.Type().Bits())
+		v.SetUint(u)
+		return err == nil
+	case reflect.Int, reflect.Int32, reflect.Int64:
+		i, err := strconv.ParseInt(s, 10, v.Type().Bits())
+		v.SetInt(i)
+		return err == nil
+	}
+	return false
+}
+
+// expectation describes the values of a type.
+func expectation(t reflect.Type) string {
+	if x, ok := reflect.New(t).Interface().(Expecter); ok {
+		return x.Expected()
+	}
+	if t == reflect.TypeFor[netip.AddrPort]() {
+		return "an IP number and port, such as 127.0.0.1:7100"
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		return "an object"
+	case reflect.Slice:
+		return "a list"
+	case reflect.String:
+		return "a text"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Uint32, reflect.Uint64:
+		return "a whole number from 0"
+	}
+	return "a whole number"
+}
+
+// kindOf describes a value that was found in place of another.
+func kindOf(tok json.Token) string {
+	switch v := tok.(type) {
+	case nil:
+		return "null"
+	case string:
+		return quote(v)
+	case json.Delim:
+		if v == '{' {
+			return "an object"
+		}
+		return "a list"
+	}
+	return fmt.Sprintf("%v", tok)
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -3,93 +3,138 @@
 import (
 	"fmt"
 	"net/netip"
+	"os"
+
+	"github.com/joomcode/errorx"
+
+	"ebonyreel/faults"
+	"ebonyreel/placement"
 )
 
 // defaultWatchHistory is the number of events kept for watchers that resume.
 const defaultWatchHistory = 10_000
 
+// checker collects faults of values.
 type checker struct {
-	faults []Fault
+	faults.List
+	// listening maps an address to the first field that names it.
+	listening map[netip.AddrPort]string
 }
 
 func (c *checker) text(field, v string) {
 	if v == "" {
-		c.faults = append(c.faults, Fault{Field: field, Value: "nothing", Expected: "a text"})
+		c.Text(field, v, "a text")
 	}
 }
 
 func (c *checker) address(field string, v netip.AddrPort) {
-	if !v.IsValid() {
-		c.faults = append(c.faults, Fault{Field: field, Value: "nothing", Expected: "an IP number and port"})
+	const expected = "an IP number and port, such as 127.0.0.1:7100"
+	switch {
+	case !v.IsValid():
+		c.Add(field, "nothing", expected)
+	case v.Port() == 0:
+		c.Add(field, v, expected)
+	}
+}
+
+// listen checks an address on which the process listens: no other field of
+// its settings may name the same one.
+func (c *checker) listen(field string, v netip.AddrPort) {
+	c.address(field, v)
+	if c.listening == nil {
+		c.listening = map[netip.AddrPort]string{}
+	}
+	if first, ok := c.listening[v]; ok && v.IsValid() {
+		c.Add(field, v, "an address other than that of "+first)
+		return
 	}
+	c.listening[v] = field
 }
 
-func (c *checker) addresses(field string, v []netip.AddrPort) {
+func (c *checker) controls(v []netip.AddrPort) {
 	if len(v) == 0 {
-		c.faults = append(c.faults, Fault{Field: field, Value: "none", Expected: "at least one IP number and port"})
+		c.Add("Controls", "none", "at least one IP number and port")
 	}
+	seen := map[netip.AddrPort]string{}
 	for i, a := range v {
-		c.address(fmt.Sprintf("%s[%d]", field, i), a)
+		field := fmt.Sprintf("Controls[%d]", i)
+		c.address(field, a)
+		if own, ok := c.listening[a]; ok && a.IsValid() {
+			c.Add(field, a, "an address other than that of "+own)
+		}
+		if first, ok := seen[a]; ok && a.IsValid() {
+			c.Add(field, a, "an address other than that of "+first)
+		}
+		seen[a] = field
 	}
 }
 
-func (c *checker) result(file string) error {
-	if len(c.faults) == 0 {
-		return nil
+// read fills in v from a file and checks its values. The error is a
+// *CheckError where the file could be read.
+func read(file string, v any, check func(c *checker)) error {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return errorx.Decorate(err, "read settings")
+	}
+	reading := faults.Decode(b, v)
+	c := &checker{}
+	check(c)
+	if all := faults.Merge(reading, c.All); len(all) > 0 {
+		return &CheckError{File: file, Faults: all}
 	}
-	return &CheckError{File: file, Faults: c.faults}
+	return nil
 }
 
 // ReadEntry reads and checks the settings of an entry. The error is a
 // *CheckError where the file could be read.
 func ReadEntry(file string) (Entry, error) {
-	s := Entry{Policy: "reserve"}
-	if err := Read(file, &s); err != nil {
-		return Entry{}, err
-	}
-	c := &checker{}
-	c.text("Name", s.Name)
-	c.text("Environment", s.Environment)
-	c.text("FailureDomain", s.FailureDomain)
-	c.address("Callers", s.Callers)
-	c.address("Operators", s.Operators)
-	c.addresses("Controls", s.Controls)
-	return s, c.result(file)
+	s := Entry{Policy: placement.Reserve}
+	err := read(file, &s, func(c *checker) {
+		c.text("Name", s.Name)
+		c.text("Environment", s.Environment)
+		c.text("FailureDomain", s.FailureDomain)
+		c.listen("Callers", s.Callers)
+		c.listen("Operators", s.Operators)
+		c.controls(s.Controls)
+		if _, ok := placement.New(s.Policy); !ok {
+			c.Text("Policy", s.Policy, "reserve, round-robin or least-loaded")
+		}
+	})
+	return s, err
 }
 
 // ReadAgent reads and checks the settings of an agent. The error is a
 // *CheckError where the file could be read.
 func ReadAgent(file string) (Agent, error) {
 	var s Agent
-	if err := Read(file, &s); err != nil {
-		return Agent{}, err
-	}
-	c := &checker{}
-	c.text("Name", s.Name)
-	c.text("Environment", s.Environment)
-	c.text("FailureDomain", s.FailureDomain)
-	c.address("Peers", s.Peers)
-	c.address("Endpoint", s.Endpoint)
-	c.address("Operators", s.Operators)
-	c.addresses("Controls", s.Controls)
-	if !s.Announced.IsValid() {
-		s.Announced = s.Peers
-	}
-	return s, c.result(file)
+	err := read(file, &s, func(c *checker) {
+		c.text("Name", s.Name)
+		c.text("Environment", s.Environment)
+		c.text("FailureDomain", s.FailureDomain)
+		c.listen("Peers", s.Peers)
+		c.listen("Endpoint", s.Endpoint)
+		c.listen("Operators", s.Operators)
+		c.controls(s.Controls)
+		if !s.Announced.IsValid() {
+			s.Announced = s.Peers
+		}
+	})
+	return s, err
 }
 
 // ReadControl reads and checks the settings of a control process. The error
 // is a *CheckError where the file could be read.
 func ReadControl(file string) (Control, error) {
 	s := Control{WatchHistory: defaultWatchHistory}
-	if err := Read(file, &s); err != nil {
-		return Control{}, err
-	}
-	c := &checker{}
-	c.text("Name", s.Name)
-	c.text("FailureDomain", s.FailureDomain)
-	c.address("Peers", s.Peers)
-	c.address("Operators", s.Operators)
-	c.text("DataFolder", s.DataFolder)
-	return s, c.result(file)
+	err := read(file, &s, func(c *checker) {
+		c.text("Name", s.Name)
+		c.text("FailureDomain", s.FailureDomain)
+		c.listen("Peers", s.Peers)
+		c.listen("Operators", s.Operators)
+		c.text("DataFolder", s.DataFolder)
+		if s.WatchHistory < 1 {
+			c.Add("WatchHistory", s.WatchHistory, "a number from 1")
+		}
+	})
+	return s, err
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,15 +3,9 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"net/netip"
-	"os"
-	"strings"
 
-	"github.com/joomcode/errorx"
+	"ebonyreel/faults"
 )
 
 // Entry is the settings of an entry.
@@ -68,51 +62,15 @@
 	WatchHistory int
 }
 
-// Fault is one thing that is wrong with a settings file.
-type Fault struct {
-	Field    string
-	Value    string
-	Expected string
-}
-
 // CheckError reports everything that is wrong with a settings file.
 type CheckError struct {
 	// File is the path that was read.
 	File string
 	// Faults has at least one element.
-	Faults []Fault
+	Faults []faults.Fault
 }
 
 // Error lists the faults.
 func (e *CheckError) Error() string {
-	parts := make([]string, 0, len(e.Faults))
-	for _, f := range e.Faults {
-		parts = append(parts, fmt.Sprintf("%s: found %s, expected %s", f.Field, f.Value, f.Expected))
-	}
-	return e.File + ": " + strings.Join(parts, "; ")
-}
-
-// Read fills in v from a JSON file and refuses unknown fields.
-func Read(file string, v any) error {
-	b, err := os.ReadFile(file)
-	if err != nil {
-		return errorx.Decorate(err, "read settings")
-	}
-	dec := json.NewDecoder(bytes.NewReader(b))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
-		return &CheckError{File: file, Faults: []Fault{explain(err)}}
-	}
-	return nil
-}
-
-func explain(err error) Fault {
-	var te *json.UnmarshalTypeError
-	if errors.As(err, &te) {
-		return Fault{Field: te.Field, Value: te.Value, Expected: te.Type.String()}
-	}
-	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
-		return Fault{Field: strings.Trim(name, `"`), Value: "unknown field", Expected: "a field of this program's settings"}
-	}
-	return Fault{Field: "file", Value: err.Error(), Expected: "one JSON object"}
+	return e.File + ": " + faults.Join(e.Faults)
 }
