Free engine memory whichever process dies, exports included

Cause: an agent looked at its engine once, at its start, and gave up when that look failed; an exported KV cache had no lease, so that the death or freeze of its entry left it to the engine's own eviction; and cancels went one after another, so that one without an answer held up all. Change: the agent accounts for all that it gave to its engine, looks every 500 ms at what the engine holds, and cancels what nobody accounts for; the endpoint takes work, and the agent joins, only after a look that found nothing. Exports live under a lease that the entry renews until the import. A promise of decode memory is released only once the engine has confirmed the cancel. Conclusion: holds for caller, entry and agent; a frozen agent frees memory only once it goes on, as nothing else may talk to its engine.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -37,9 +37,10 @@
 	leaving atomic.Bool
 	// working counts calls in flight.
 	working atomic.Int64
-	// first is closed with the first announcement.
-	first chan struct{}
-	calls *callLog
+	// first is closed once the first endpoint takes work.
+	first  chan struct{}
+	joined sync.Once
+	calls  *callLog
 	// base ends with the process.
 	base context.Context
 }
@@ -51,6 +52,9 @@
 	service      *services.Client
 	memory       *memory
 	canceller    *canceller
+	inflight     inflight
+	// ready is true once nothing of an earlier agent is left at the endpoint.
+	ready atomic.Bool
 	// stop ends the goroutines of this endpoint.
 	stop context.CancelFunc
 }
@@ -68,7 +72,7 @@
 	}
 }
 
-// First is closed once an endpoint has announced itself.
+// First is closed once an endpoint takes work.
 func (a *Agent) First() <-chan struct{} {
 	return a.first
 }
@@ -82,9 +86,7 @@
 	old := a.endpoint
 	if old == nil || old.announcement.Instance != n.Instance {
 		a.endpoint = a.start(n)
-		if old == nil {
-			close(a.first)
-		} else {
+		if old != nil {
 			old.stop()
 		}
 	}
@@ -98,13 +100,15 @@
 	e := &endpoint{announcement: n, stop: cancel}
 	if n.Role == endpoints.RoleService {
 		e.service = services.NewClient(n.Address)
+		a.ready(e)
 		return e
 	}
 	e.engine = engines.NewClient(n.Address)
 	e.canceller = newCanceller(e.engine, a.log)
-	e.memory = newMemory(n.MemoryPieces, max(n.PieceTokens, 1), func(t reservation.Attempt) { e.canceller.cancel(engineName(t)) })
+	e.memory = newMemory(n.MemoryPieces, max(n.PieceTokens, 1), func(t reservation.Attempt) { e.canceller.cancel(engineName(t), nil) })
 	go e.memory.run(ctx)
 	go e.canceller.run(ctx)
+	go a.reconcile(ctx, e)
 	return e
 }
 
@@ -147,7 +151,7 @@
 		return nil, &reservation.LeavingError{}
 	}
 	e := a.current()
-	if e == nil {
+	if e == nil || !e.ready.Load() {
 		return nil, &DownError{}
 	}
 	if !a.announcer.Current(time.Now()) {
--- a/agent/errors.go
+++ b/agent/errors.go
@@ -14,7 +14,8 @@
 // comeBack is when to try again after a short-lived refusal.
 const comeBack = time.Second
 
-// DownError reports that the endpoint has not been heard from lately.
+// DownError reports that the endpoint has not been heard from lately, or that
+// what an earlier agent left there is not cancelled yet.
 type DownError struct{}
 
 // Error says so.
--- a/agent/generate.go
+++ b/agent/generate.go
@@ -104,16 +104,19 @@
 	m := r.Msg
 	ctx, span := a.tracer.Start(ctx, "Prefill")
 	defer span.End()
+	name := engineName(attemptOf(m.GetAttempt()))
+	defer e.inflight.begin(name, "")()
 	res, err := e.engine.Prefill(ctx, engines.PrefillCall{
-		Request:  engineName(attemptOf(m.GetAttempt())),
+		Request:  name,
 		Prompt:   m.GetPrompt(),
 		Position: int(m.GetResumePosition()),
 		Priority: int(m.GetPriority()),
 	})
 	if err != nil {
-		e.canceller.cancel(engineName(attemptOf(m.GetAttempt())))
+		e.canceller.cancel(name, nil)
 		return nil, a.broken(e, err)
 	}
+	e.inflight.export(name, time.Now())
 	return connect.NewResponse(&agentv1.PrefillResponse{
 		Kv: &agentv1.KvHandle{
 			Address: e.announcement.Address.String(),
@@ -143,7 +146,8 @@
 }
 
 // Decode imports a KV cache into promised memory and streams the tokens.
-// Whatever way it ends, the promise is released.
+// Whatever way it ends, the promise is released, but not before the engine
+// has let its memory go.
 func (a *Agent) Decode(ctx context.Context, r *connect.Request[agentv1.DecodeRequest], out *connect.ServerStream[agentv1.DecodeResponse]) error {
 	e := a.current()
 	if e == nil || e.memory == nil {
@@ -157,20 +161,24 @@
 	}
 	a.working.Add(1)
 	defer a.working.Add(-1)
-	defer e.memory.release(at)
-	if err := a.importKv(ctx, e, m, pieces); err != nil {
-		e.canceller.cancel(engineName(at))
+	defer e.inflight.begin(engineName(at), "")()
+	if err := a.run(ctx, e, m, pieces, out); err != nil {
+		e.canceller.cancel(engineName(at), func() { e.memory.release(at) })
 		return err
 	}
-	if err := out.Send(&agentv1.DecodeResponse{Attempt: at.Number, Imported: true, Load: a.load()}); err != nil {
-		e.canceller.cancel(engineName(at))
+	e.memory.release(at)
+	return nil
+}
+
+// run imports a KV cache and relays its tokens.
+func (a *Agent) run(ctx context.Context, e *endpoint, m *agentv1.DecodeRequest, pieces int, out *connect.ServerStream[agentv1.DecodeResponse]) error {
+	if err := a.importKv(ctx, e, m, pieces); err != nil {
 		return err
 	}
-	if err := a.relay(ctx, e, m, out); err != nil {
-		e.canceller.cancel(engineName(at))
+	if err := out.Send(&agentv1.DecodeResponse{Attempt: m.GetAttempt().GetNumber(), Imported: true, Load: a.load()}); err != nil {
 		return err
 	}
-	return nil
+	return a.relay(ctx, e, m, out)
 }
 
 // importKv fetches the KV cache. The prefill engine says 404 or 410 when the
@@ -272,8 +280,14 @@
 func (a *Agent) Release(_ context.Context, r *connect.Request[agentv1.ReleaseRequest]) (*connect.Response[agentv1.ReleaseResponse], error) {
 	if e := a.current(); e != nil && e.memory != nil {
 		at := attemptOf(r.Msg.GetAttempt())
-		e.memory.release(at)
-		e.canceller.cancel(engineName(at))
+		name := engineName(at)
+		e.inflight.drop(name)
+		if e.inflight.runs(name) {
+			e.canceller.cancel(name, func() { e.memory.release(at) })
+		} else {
+			e.memory.release(at)
+			e.canceller.cancel(name, nil)
+		}
 	}
 	return connect.NewResponse(&agentv1.ReleaseResponse{}), nil
 }
@@ -291,6 +305,9 @@
 		attempts = append(attempts, attemptOf(t))
 	}
 	for _, t := range e.memory.renew(attempts) {
+		if e.inflight.renew(engineName(t), time.Now()) {
+			continue
+		}
 		out.Unknown = append(out.Unknown, &agentv1.Attempt{Request: t.Request, Number: t.Number, Entry: t.Entry})
 	}
 	return connect.NewResponse(out), nil
--- /dev/null
+++ b/agent/inflight.go
@@ -0,0 +1,96 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"ebonyreel/lease"
+	"ebonyreel/reservation"
+)
+
+// inflight is the work that the agent gave to one start of its engine. What
+// the engine holds beyond it belongs to nobody. The zero value is empty. It is
+// safe for concurrent use.
+type inflight struct {
+	mu sync.Mutex
+	// running maps the engine's name of an attempt to the digest of its
+	// content, from before the engine is called until its answer has ended.
+	running map[string]string
+	// exports holds the attempts whose KV cache waits for its import, under
+	// the leases of their entries.
+	exports lease.Table
+}
+
+// begin accounts for an attempt until the returned function is called.
+func (f *inflight) begin(request, digest string) func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.running == nil {
+		f.running = map[string]string{}
+	}
+	f.running[request] = digest
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.running, request)
+	}
+}
+
+// export accounts for an exported KV cache as long as its lease is renewed.
+func (f *inflight) export(request string, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.exports.Renew(request, now, reservation.LeaseLength)
+}
+
+// renew extends the lease of an export. It reports false where there is none.
+func (f *inflight) renew(request string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.exports.Held(request, now) {
+		return false
+	}
+	f.exports.Renew(request, now, reservation.LeaseLength)
+	return true
+}
+
+// drop ends the lease of an export.
+func (f *inflight) drop(request string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.exports.Drop(request)
+}
+
+// runs reports whether the engine was given an attempt that has not ended.
+func (f *inflight) runs(request string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.running[request]
+	return ok
+}
+
+// accounts reports whether the engine may hold something for a request.
+func (f *inflight) accounts(request string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.running[request]
+	return ok || f.exports.Held(request, now)
+}
+
+// snapshot returns the attempts that are running.
+func (f *inflight) snapshot() map[string]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]bool, len(f.running))
+	for r := range f.running {
+		out[r] = true
+	}
+	return out
+}
+
+// lapse forgets the exports whose leases have ended.
+func (f *inflight) lapse(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.exports.Lapsed(now)
+}
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -172,6 +172,7 @@
 		s.agents.Release(held.peer, at)
 		return err
 	}
+	defer prefiller.Track(at)()
 	imported, err := s.decode(ctx, g, at, held, kv)
 	if !imported {
 		s.counts.Wasted.Add(1)
