Announce nothing after the last leave

Cause: after its planned stop a process told control that it was gone, while its announcer ran on: the next announcement, which an endpoint that announces itself brings on at once, made it a serving member again until its lease lapsed 3 s later. ebonyreel stop showed 3 s for idle agents.

Ruled out: ending the announcer first, as a process that drains must keep its lease until the last request has ended.

Change: the last leave waits for an announcement on its way, and none follows.

Conclusion: a process that has gone is not offered work.

--- a/controls/announcer.go
+++ b/controls/announcer.go
@@ -47,6 +47,12 @@
 	behindSince time.Time
 	// wake asks for a renewal at once.
 	wake chan struct{}
+
+	// sending is held while an announcement or the last leave is on its way,
+	// so that no announcement follows the leave.
+	sending sync.Mutex
+	// gone is guarded by sending; nothing is announced once it is true.
+	gone bool
 }
 
 // NewAnnouncer returns an announcer for a member that has not joined.
@@ -70,6 +76,11 @@
 }
 
 func (a *Announcer) renew(ctx context.Context) {
+	a.sending.Lock()
+	defer a.sending.Unlock()
+	if a.gone {
+		return
+	}
 	m := a.Member()
 	var number uint64
 	if d := a.view.Document(); d != nil {
@@ -144,6 +155,11 @@
 
 // Leave marks the member as leaving, or removes it once it is gone.
 func (a *Announcer) Leave(ctx context.Context, gone bool) error {
+	if gone {
+		a.sending.Lock()
+		defer a.sending.Unlock()
+		a.gone = true
+	}
 	m := a.Member()
 	return a.client.Leave(ctx, &controlv1.LeaveRequest{
 		Environment: m.GetEnvironment(), Name: m.GetName(), Incarnation: m.GetIncarnation(), Gone: gone,
