Run tests that start programs each time

Cause: make test showed cached results for proof and cmd/ebonyreel after the sources of entry, agent or control had changed, as the tests build these programs themselves. Seen: proof passed, a line was added to entry/server.go, and go test said ok (cached).

Ruled out: looking at the sources from the test, which the go tool leaves out outside of the test's own module; importing the packages, which leaves the same test binary.

Change: make test runs both with -count=1.

Figures: with the record of refusals taken out of entry, go test of cmd/ebonyreel said ok (cached); with -count=1 it failed in explain.txtar.

Conclusion: a verdict is of the sources that it was asked for.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 STANDINS := engine service weightstore load
 MODULES  := . proof $(PROGRAMS:%=cmd/%) $(STANDINS:%=standin/%)
 PACKAGES := $(MODULES:%=./%/...)
+# Tests that start programs. They run each time: the go tool's cached results
+# know nothing of the sources of a program that a test builds.
+STARTING := ./proof/... ./cmd/ebonyreel/...
 LINT     := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 SEEDS    ?= 20
 
@@ -19,7 +22,8 @@
 # Formatter, linter, build and all tests with a steady verdict.
 test: lint build
 	@go vet $(PACKAGES)
-	@go test $(PACKAGES)
+	@go test $(filter-out $(STARTING),$(PACKAGES))
+	@go test -count=1 $(STARTING)
 
 lint:
 	@$(LINT) run $(PACKAGES)
