Let operators compare, explain and read what went wrong

Cause: the tool had no diff and no explain, printed errors as they came off the wire, knew four exit codes of which none was documented, and status showed neither documents in force nor queues.

Ruled out: keeping the announced document number at control for status, as it would become a write for each process and change; the tool asks the processes themselves, 32 at a time.

Change: document diff by field, explain, status with documents, queues and memory, JSON output everywhere also of errors, exit codes 0 to 6 in the long help, an advice with each refusal, completion, progress of stop on standard error. An error of the last control host keeps its type: errorx's wrappers in the version in use have no Unwrap, so errors.As did not see through them.

--- a/cmd/ebonyreel/command.go
+++ b/cmd/ebonyreel/command.go
@@ -2,30 +2,27 @@
 
 import (
 	"context"
-	"errors"
 	"net/netip"
 	"os"
+	"strconv"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/spf13/cobra"
 
 	"ebonyreel/controls"
-	"ebonyreel/document"
+	"ebonyreel/faults"
 	"ebonyreel/transport"
 )
 
-// Exit codes.
+// callTimeout bounds one command, apart from the wait for a planned stop.
+const callTimeout = 20 * time.Second
+
+// Forms of output.
 const (
-	exitDone     = 0
-	exitFailed   = 1
-	exitWrong    = 2
-	exitConflict = 3
+	textOutput = "text"
+	jsonOutput = "json"
 )
 
-// callTimeout bounds one command.
-const callTimeout = 20 * time.Second
-
 // options are the flags that all commands share.
 type options struct {
 	controls    []string
@@ -34,29 +31,55 @@
 	output      string
 }
 
+const longHelp = `Operate ebonyreel through documents and planned stops.
+
+Exit codes:
+  0  done
+  1  failed: nobody answered, or something unforeseen
+  2  the document, a flag or an argument is wrong
+  3  conflict: another document was accepted first
+  4  what was asked for is not there
+  5  the document has no recorded approval
+  6  the key is missing, not known or not one of an operator`
+
 func newCommand() *cobra.Command {
 	o := &options{}
 	c := &cobra.Command{
-		Use:          "ebonyreel",
-		Short:        "Operate ebonyreel through documents and planned stops",
-		SilenceUsage: true,
+		Use:           "ebonyreel",
+		Short:         "Operate ebonyreel through documents and planned stops",
+		Long:          longHelp,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if o.output != textOutput && o.output != jsonOutput {
+				return wrongFlag("output", o.output, "text or json")
+			}
+			return nil
+		},
 	}
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return &UsageError{Fault: faults.Fault{Field: "flags", Value: err.Error(), Expected: "those that --help lists"}}
+	})
 	f := c.PersistentFlags()
 	f.StringSliceVar(&o.controls, "controls", []string{"127.0.0.1:7100"}, "addresses of the control hosts")
 	f.StringVar(&o.environment, "environment", "", "environment, such as archive-trial")
 	f.StringVar(&o.operator, "operator", os.Getenv("USER"), "name that is recorded with what is done")
-	f.StringVar(&o.output, "output", "text", "text or json")
-	c.AddCommand(newDocumentCommand(o), newStatusCommand(o), newStopCommand(o))
+	f.StringVar(&o.output, "output", textOutput, "text or json")
+	_ = c.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{textOutput, jsonOutput}, cobra.ShellCompDirectiveNoFileComp))
+	c.AddCommand(newDocumentCommand(o), newStatusCommand(o), newStopCommand(o), newExplainCommand(o))
 	return c
 }
 
 // client returns a client for the control hosts of the flags.
 func (o *options) client() (*controls.Client, error) {
+	if o.environment == "" {
+		return nil, wrongFlag("environment", "", "the name of an environment, such as archive-trial")
+	}
 	addresses := make([]netip.AddrPort, 0, len(o.controls))
 	for _, c := range o.controls {
 		a, err := netip.ParseAddrPort(c)
 		if err != nil {
-			return nil, err
+			return nil, wrongFlag("controls", c, "IP numbers with ports, such as 10.0.0.1:7100")
 		}
 		addresses = append(addresses, a)
 	}
@@ -67,16 +90,42 @@
 	return context.WithTimeout(context.Background(), callTimeout)
 }
 
-// exitCode maps an error to the documented exit codes.
-func exitCode(err error) int {
-	var check *document.CheckError
-	switch {
-	case err == nil:
-		return exitDone
-	case errors.As(err, &check), connect.CodeOf(err) == connect.CodeInvalidArgument:
-		return exitWrong
-	case connect.CodeOf(err) == connect.CodeAlreadyExists:
-		return exitConflict
+// UsageError reports a flag or an argument that is wrong.
+type UsageError struct {
+	Fault faults.Fault
+}
+
+// Error says what was found and what was expected.
+func (e *UsageError) Error() string {
+	return e.Fault.String()
+}
+
+// exactly asks for a number of arguments.
+func exactly(n int) cobra.PositionalArgs {
+	return func(_ *cobra.Command, args []string) error {
+		if len(args) != n {
+			return wrongArguments(len(args), strconv.Itoa(n))
+		}
+		return nil
+	}
+}
+
+func wrongArguments(found int, expected string) error {
+	return &UsageError{Fault: faults.Fault{Field: "arguments", Value: strconv.Itoa(found), Expected: expected}}
+}
+
+func wrongFlag(name, value, expected string) error {
+	if value == "" {
+		value = "nothing"
+	}
+	return &UsageError{Fault: faults.Fault{Field: "--" + name, Value: value, Expected: expected}}
+}
+
+// readFile returns a file that an argument names.
+func readFile(name string) ([]byte, error) {
+	b, err := os.ReadFile(name)
+	if err != nil {
+		return nil, &UsageError{Fault: faults.Fault{Field: "FILE", Value: err.Error(), Expected: "a file that can be read"}}
 	}
-	return exitFailed
+	return b, nil
 }
--- /dev/null
+++ b/cmd/ebonyreel/diff.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"ebonyreel/document"
+)
+
+func newDiffCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff FILE|NUMBER [FILE|NUMBER]",
+		Short: "Show what changes from one document to another",
+		Long: `Show what changes, field by field, from the first document to the second.
+
+Each is a file or the number of an accepted document. With one argument, it is
+compared with the document in force. Defaults count as written.`,
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) < 1 || len(args) > 2 {
+				return wrongArguments(len(args), "1 or 2")
+			}
+			return nil
+		},
+		RunE: func(c *cobra.Command, args []string) error {
+			if len(args) == 1 {
+				args = []string{"0", args[0]}
+			}
+			was, err := o.read(args[0])
+			if err != nil {
+				return err
+			}
+			is, err := o.read(args[1])
+			if err != nil {
+				return err
+			}
+			changes := append([]document.Change{}, document.Diff(was, is)...)
+			return o.print(c.OutOrStdout(), changes, changeLines(changes))
+		},
+	}
+}
+
+// read returns a document from a file, or an accepted one by its number.
+func (o *options) read(name string) (*document.Document, error) {
+	if n, err := strconv.ParseUint(name, 10, 64); err == nil {
+		d, err := o.numbered(n)
+		if err != nil {
+			return nil, err
+		}
+		return document.Load(d.GetResolved())
+	}
+	b, err := readFile(name)
+	if err != nil {
+		return nil, err
+	}
+	return document.Parse(b)
+}
+
+func changeLines(changes []document.Change) string {
+	if len(changes) == 0 {
+		return "no changes"
+	}
+	lines := make([]string, 0, len(changes))
+	for _, c := range changes {
+		lines = append(lines, c.String())
+	}
+	return strings.Join(lines, "\n")
+}
--- a/cmd/ebonyreel/document.go
+++ b/cmd/ebonyreel/document.go
@@ -5,7 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
+	"slices"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -15,9 +16,9 @@
 )
 
 func newDocumentCommand(o *options) *cobra.Command {
-	c := &cobra.Command{Use: "document", Short: "Check, submit, approve, promote and show documents"}
+	c := &cobra.Command{Use: "document", Short: "Check, compare, submit, approve, promote and show documents"}
 	c.AddCommand(
-		newCheckCommand(o), newSubmitCommand(o), newApproveCommand(o),
+		newCheckCommand(o), newDiffCommand(o), newSubmitCommand(o), newApproveCommand(o),
 		newPromoteCommand(o), newHistoryCommand(o), newShowCommand(o),
 	)
 	return c
@@ -44,28 +45,38 @@
 	}
 }
 
-func (o *options) print(w io.Writer, s summary) error {
-	if o.output == "json" {
-		return process.Print(s)
-	}
-	_, err := fmt.Fprintf(w, "%s document %d digest %.12s from %s", s.Environment, s.Number, s.Digest, s.Submitter)
+func (s summary) String() string {
+	out := fmt.Sprintf("%s document %d digest %.12s from %s", s.Environment, s.Number, s.Digest, s.Submitter)
 	if s.Approver != "" {
-		_, err = fmt.Fprintf(w, ", approved by %s", s.Approver)
+		out += ", approved by " + s.Approver
 	}
 	if s.Repeated {
-		_, err = fmt.Fprint(w, " (accepted earlier)")
+		out += " (accepted earlier)"
+	}
+	return out
+}
+
+// print writes a value as JSON, or its text.
+func (o *options) print(w io.Writer, v any, text string) error {
+	if o.output == jsonOutput {
+		return process.Encode(w, v)
 	}
-	_, _ = fmt.Fprintln(w)
+	_, err := fmt.Fprintln(w, text)
 	return err
 }
 
+// printSummary writes one document's summary.
+func (o *options) printSummary(c *cobra.Command, s summary) error {
+	return o.print(c.OutOrStdout(), s, s.String())
+}
+
 func newCheckCommand(o *options) *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a document without submitting it",
-		Args:  cobra.ExactArgs(1),
+		Args:  exactly(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			b, err := os.ReadFile(args[0])
+			b, err := readFile(args[0])
 			if err != nil {
 				return err
 			}
@@ -77,7 +88,7 @@
 			if err != nil {
 				return err
 			}
-			return o.print(c.OutOrStdout(), summary{Environment: o.environment, Number: d.Number, Digest: digest, Submitter: o.operator})
+			return o.printSummary(c, summary{Environment: o.environment, Number: d.Number, Digest: digest, Submitter: o.operator})
 		},
 	}
 }
@@ -86,9 +97,9 @@
 	return &cobra.Command{
 		Use:   "submit FILE",
 		Short: "Submit a document to an environment",
-		Args:  cobra.ExactArgs(1),
+		Args:  exactly(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			b, err := os.ReadFile(args[0])
+			b, err := readFile(args[0])
 			if err != nil {
 				return err
 			}
@@ -102,7 +113,7 @@
 			if err != nil {
 				return err
 			}
-			return o.print(c.OutOrStdout(), summaryOf(res.GetDocument(), res.GetRepeated()))
+			return o.printSummary(c, summaryOf(res.GetDocument(), res.GetRepeated()))
 		},
 	}
 }
@@ -113,6 +124,7 @@
 	c := &cobra.Command{
 		Use:   "approve",
 		Short: "Record the approval of a document",
+		Args:  exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error {
 			client, err := o.client()
 			if err != nil {
@@ -126,7 +138,7 @@
 			if err != nil {
 				return err
 			}
-			return o.print(c.OutOrStdout(), summaryOf(res.GetDocument(), false))
+			return o.printSummary(c, summaryOf(res.GetDocument(), false))
 		},
 	}
 	c.Flags().Uint64Var(&number, "number", 0, "number of the document")
@@ -140,6 +152,7 @@
 	c := &cobra.Command{
 		Use:   "promote",
 		Short: "Move an approved document to another environment, byte for byte",
+		Args:  exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error {
 			client, err := o.client()
 			if err != nil {
@@ -153,7 +166,7 @@
 			if err != nil {
 				return err
 			}
-			return o.print(c.OutOrStdout(), summaryOf(res.GetDocument(), res.GetRepeated()))
+			return o.printSummary(c, summaryOf(res.GetDocument(), res.GetRepeated()))
 		},
 	}
 	c.Flags().Uint64Var(&number, "number", 0, "number of the document")
@@ -166,17 +179,19 @@
 	return &cobra.Command{
 		Use:   "history",
 		Short: "List the accepted documents of an environment",
+		Args:  exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error {
 			all, err := o.documents()
 			if err != nil {
 				return err
 			}
+			rows := make([]summary, 0, len(all))
+			lines := make([]string, 0, len(all))
 			for _, d := range all {
-				if err := o.print(c.OutOrStdout(), summaryOf(d, false)); err != nil {
-					return err
-				}
+				rows = append(rows, summaryOf(d, false))
+				lines = append(lines, summaryOf(d, false).String())
 			}
-			return nil
+			return o.print(c.OutOrStdout(), rows, strings.Join(lines, "\n"))
 		},
 	}
 }
@@ -192,6 +207,20 @@
 	return client.History(ctx, o.environment)
 }
 
+// numbered returns an accepted document by number; zero is the one in force.
+func (o *options) numbered(number uint64) (*controlv1.Document, error) {
+	all, err := o.documents()
+	if err != nil {
+		return nil, err
+	}
+	for _, d := range slices.Backward(all) {
+		if number == 0 || d.GetNumber() == number {
+			return d, nil
+		}
+	}
+	return nil, &NoDocumentError{Environment: o.environment, Number: number}
+}
+
 // NoDocumentError reports an environment without a document of a number.
 type NoDocumentError struct {
 	Environment string
@@ -211,17 +240,13 @@
 	c := &cobra.Command{
 		Use:   "show",
 		Short: "Print the resolved document in force, or one by number",
+		Args:  exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error {
-			all, err := o.documents()
+			d, err := o.numbered(number)
 			if err != nil {
 				return err
 			}
-			for i := len(all) - 1; i >= 0; i-- {
-				if number == 0 || all[i].GetNumber() == number {
-					return printResolved(c.OutOrStdout(), all[i])
-				}
-			}
-			return &NoDocumentError{Environment: o.environment, Number: number}
+			return printResolved(c.OutOrStdout(), d)
 		},
 	}
 	c.Flags().Uint64Var(&number, "number", 0, "number of the document; zero is the one in force")
--- /dev/null
+++ b/cmd/ebonyreel/explain.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	"connectrpc.com/connect"
+	"github.com/spf13/cobra"
+
+	"ebonyreel/decision"
+	controlv1 "ebonyreel/proto/control/v1"
+	entryv1 "ebonyreel/proto/entry/v1"
+	"ebonyreel/proto/entry/v1/entryv1connect"
+	"ebonyreel/transport"
+)
+
+// UnknownRequestError reports a request that no entry has a record of.
+type UnknownRequestError struct {
+	Request string
+	// Asked is the number of entries that answered, and Silent of those that
+	// did not.
+	Asked  int
+	Silent int
+}
+
+// Error says who was asked.
+func (e *UnknownRequestError) Error() string {
+	return fmt.Sprintf("no record of request %s: %d entries answered, %d did not; entries keep their newest records, and more where DecisionFile is set",
+		e.Request, e.Asked, e.Silent)
+}
+
+func newExplainCommand(o *options) *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "explain REQUEST",
+		Short: "Say why a request went where it went, or was refused",
+		Long: `Say why a request went where it went, or was refused.
+
+REQUEST is the X-Request-Id of the answer. All entries of the environment are
+asked, or a copy of a decision file is read.`,
+		Args: exactly(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			d, err := o.find(args[0], file)
+			if err != nil {
+				return err
+			}
+			return o.print(c.OutOrStdout(), d, explanation(d))
+		},
+	}
+	c.Flags().StringVar(&file, "decisions", "", "decision file to read in place of asking the entries")
+	return c
+}
+
+func (o *options) find(request, file string) (decision.Record, error) {
+	if file != "" {
+		if d, ok := decision.FindInFile(file, request); ok {
+			return d, nil
+		}
+		return decision.Record{}, &UnknownRequestError{Request: request}
+	}
+	members, err := o.members()
+	if err != nil {
+		return decision.Record{}, err
+	}
+	return askEntries(entriesOf(members), request)
+}
+
+func entriesOf(members []*controlv1.Member) []*controlv1.Member {
+	var out []*controlv1.Member
+	for _, m := range members {
+		if m.GetRole() == controlv1.Role_ROLE_ENTRY {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// answer is what one entry said about a request.
+type answer struct {
+	record decision.Record
+	found  bool
+	err    error
+}
+
+func askEntries(entries []*controlv1.Member, request string) (decision.Record, error) {
+	client := transport.NewClient()
+	answers := make([]answer, len(entries))
+	each(len(entries), func(i int) { answers[i] = explain(client, entries[i], request) })
+	missing := &UnknownRequestError{Request: request}
+	for _, a := range answers {
+		switch {
+		case a.found:
+			return a.record, nil
+		case a.err != nil:
+			missing.Silent++
+		default:
+			missing.Asked++
+		}
+	}
+	return decision.Record{}, missing
+}
+
+// explain asks one entry.
+func explain(client *http.Client, m *controlv1.Member, request string) answer {
+	a, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil {
+		return answer{err: err}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	e := entryv1connect.NewEntryServiceClient(client, transport.URL(a))
+	res, err := e.Explain(ctx, connect.NewRequest(&entryv1.ExplainRequest{Request: request}))
+	if err != nil || !res.Msg.GetFound() {
+		return answer{err: err}
+	}
+	out := answer{found: true}
+	out.err = json.Unmarshal(res.Msg.GetRecord(), &out.record)
+	out.found = out.err == nil
+	return out
+}
+
+// explanation writes a record for people, a line for each step.
+func explanation(d decision.Record) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "request %s at %s on %s\n", d.Request, d.Time.Format("2006-01-02 15:04:05.000"), d.Entry)
+	fmt.Fprintf(&b, "caller %s, serves %s, document %d\n", orUnknown(d.Caller), orUnknown(d.Serves), d.DocumentNumber)
+	for _, c := range d.Choices {
+		fmt.Fprintf(&b, "%6d ms  attempt %d: %s of %d members, chose %s\n", c.AfterMilliseconds, c.Attempt, c.Role, c.Members, orUnknown(c.Chosen))
+		for _, k := range c.Candidates {
+			fmt.Fprintf(&b, "           asked %s%s\n", k.Name, loadOf(k))
+		}
+	}
+	for _, f := range d.Failures {
+		fmt.Fprintf(&b, "%6d ms  attempt %d failed: %s\n", f.AfterMilliseconds, f.Attempt, f.Reason)
+	}
+	fmt.Fprintf(&b, "%6d ms  %s", d.ElapsedMilliseconds, d.Outcome)
+	if d.Reason != "" {
+		fmt.Fprintf(&b, ": %s", d.Reason)
+	}
+	return b.String()
+}
+
+func loadOf(k decision.Candidate) string {
+	if !k.Known {
+		return ", load not known"
+	}
+	return fmt.Sprintf(": %d pieces free, %d running, %d queued, expected wait %d ms", k.PiecesFree, k.Running, k.Queued, k.WaitMilliseconds)
+}
+
+func orUnknown(s string) string {
+	if s == "" {
+		return "(none)"
+	}
+	return s
+}
--- a/cmd/ebonyreel/main.go
+++ b/cmd/ebonyreel/main.go
@@ -1,10 +1,21 @@
-// Command ebonyreel is the operators' tool: documents, status and planned
-// stops.
+// Command ebonyreel is the operators' tool: documents, status, planned stops
+// and the reasons of decisions.
 package main
 
 import "os"
 
 func main() {
-	err := newCommand().Execute()
-	os.Exit(exitCode(err))
+	os.Exit(run(os.Args[1:]))
+}
+
+// run executes a command line and returns its exit code.
+func run(args []string) int {
+	c := newCommand()
+	c.SetArgs(args)
+	err := c.Execute()
+	if err != nil {
+		output, _ := c.PersistentFlags().GetString("output")
+		report(c.ErrOrStderr(), output, err)
+	}
+	return exitCode(err)
 }
--- a/cmd/ebonyreel/status.go
+++ b/cmd/ebonyreel/status.go
@@ -1,13 +1,33 @@
 package main
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"net/http"
+	"net/netip"
+	"sort"
+	"strings"
+	"sync"
 	"text/tabwriter"
+	"time"
 
+	"connectrpc.com/connect"
 	"github.com/spf13/cobra"
 
-	"ebonyreel/process"
+	agentv1 "ebonyreel/proto/agent/v1"
+	"ebonyreel/proto/agent/v1/agentv1connect"
 	controlv1 "ebonyreel/proto/control/v1"
+	entryv1 "ebonyreel/proto/entry/v1"
+	"ebonyreel/proto/entry/v1/entryv1connect"
+	"ebonyreel/transport"
+)
+
+const (
+	// askers bounds the processes that are asked at the same time, and
+	// askTimeout the answer of each.
+	askers     = 32
+	askTimeout = 2 * time.Second
 )
 
 // row is one process in the status.
@@ -19,33 +39,118 @@
 	FailureDomain string
 	Address       string
 	Incarnation   uint64
+	// DocumentNumber is that of the document in force at the process.
+	DocumentNumber uint64
+	// InFlight counts requests that run, and Queued those that wait.
+	InFlight uint32
+	Queued   uint32
+	// PiecesFree and PiecesTotal are of the engine's memory.
+	PiecesFree  uint32 `json:",omitempty"`
+	PiecesTotal uint32 `json:",omitempty"`
+	EndpointUp  bool
+	// Problem is why the process did not answer; it is empty when it did.
+	Problem string `json:",omitempty"`
 }
 
 func newStatusCommand(o *options) *cobra.Command {
 	return &cobra.Command{
 		Use:   "status",
-		Short: "List the processes of an environment",
+		Short: "List the processes of an environment with documents in force and queues",
+		Args:  exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error {
 			members, err := o.members()
 			if err != nil {
 				return err
 			}
-			rows := make([]row, 0, len(members))
-			for _, m := range members {
-				rows = append(rows, rowOf(m))
-			}
-			if o.output == "json" {
-				return process.Print(rows)
-			}
-			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
-			for _, r := range rows {
-				_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\n", r.Name, r.Role, r.State, r.Serves, r.FailureDomain, r.Address, r.Incarnation)
-			}
-			return w.Flush()
+			rows := askAll(members)
+			sort.Slice(rows, func(i, j int) bool { return rows[i].Name < rows[j].Name })
+			return o.print(c.OutOrStdout(), rows, table(rows))
 		},
 	}
 }
 
+// table writes a line for each process under a line of titles.
+func table(rows []row) string {
+	var b bytes.Buffer
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "NAME\tROLE\tSTATE\tSERVES\tDOMAIN\tADDRESS\tINCARNATION\tDOCUMENT\tIN FLIGHT\tQUEUED\tMEMORY\tPROBLEM")
+	for _, r := range rows {
+		memory := "-"
+		if r.PiecesTotal > 0 {
+			memory = fmt.Sprintf("%d/%d free", r.PiecesFree, r.PiecesTotal)
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\t%s\n", r.Name, r.Role, r.State, r.Serves,
+			r.FailureDomain, r.Address, r.Incarnation, r.DocumentNumber, r.InFlight, r.Queued, memory, r.Problem)
+	}
+	_ = w.Flush()
+	return strings.TrimRight(b.String(), "\n")
+}
+
+// askAll asks each process for its own status, a few at a time.
+func askAll(members []*controlv1.Member) []row {
+	client := transport.NewClient()
+	rows := make([]row, len(members))
+	each(len(members), func(i int) { rows[i] = ask(client, members[i]) })
+	return rows
+}
+
+// each calls a function with the numbers below n, a few at a time.
+func each(n int, call func(i int)) {
+	next := make(chan int)
+	var done sync.WaitGroup
+	for range min(askers, n) {
+		done.Go(func() {
+			for i := range next {
+				call(i)
+			}
+		})
+	}
+	for i := range n {
+		next <- i
+	}
+	close(next)
+	done.Wait()
+}
+
+func ask(client *http.Client, m *controlv1.Member) row {
+	r := rowOf(m)
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	a, err := netip.ParseAddrPort(m.GetAddress())
+	if err == nil && m.GetRole() == controlv1.Role_ROLE_ENTRY {
+		err = r.askEntry(ctx, entryv1connect.NewEntryServiceClient(client, transport.URL(a)))
+	} else if err == nil {
+		err = r.askAgent(ctx, agentv1connect.NewAgentServiceClient(client, transport.URL(a)))
+	}
+	if err != nil {
+		r.Problem = "no answer: " + err.Error()
+	} else if !r.EndpointUp {
+		r.Problem = "its endpoint is down"
+	}
+	return r
+}
+
+func (r *row) askEntry(ctx context.Context, c entryv1connect.EntryServiceClient) error {
+	res, err := c.Status(ctx, connect.NewRequest(&entryv1.StatusRequest{}))
+	if err != nil {
+		return err
+	}
+	r.DocumentNumber, r.InFlight, r.EndpointUp = res.Msg.GetDocumentNumber(), res.Msg.GetInFlight(), true
+	return nil
+}
+
+func (r *row) askAgent(ctx context.Context, c agentv1connect.AgentServiceClient) error {
+	res, err := c.Status(ctx, connect.NewRequest(&agentv1.StatusRequest{}))
+	if err != nil {
+		return err
+	}
+	l := res.Msg.GetLoad()
+	r.DocumentNumber, r.EndpointUp = res.Msg.GetDocumentNumber(), res.Msg.GetEndpointUp()
+	r.InFlight, r.Queued = l.GetRunning(), l.GetQueued()
+	r.PiecesFree, r.PiecesTotal = l.GetPiecesFree(), l.GetPiecesTotal()
+	return nil
+}
+
 func rowOf(m *controlv1.Member) row {
 	return row{
 		Name:          m.GetName(),
--- a/cmd/ebonyreel/stop.go
+++ b/cmd/ebonyreel/stop.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/netip"
 	"time"
 
@@ -35,7 +34,14 @@
 	return &cobra.Command{
 		Use:   "stop NAME",
 		Short: "Stop a process once its requests in flight have ended",
-		Args:  cobra.ExactArgs(1),
+		Long: `Stop a process once its requests in flight have ended.
+
+No time limit cuts a request. Interrupting this command does not call off the
+stop; running it again goes on waiting.`,
+		Args: exactly(1),
+		ValidArgsFunction: func(*cobra.Command, []string, string) ([]string, cobra.ShellCompDirective) {
+			return o.names(), cobra.ShellCompDirectiveNoFileComp
+		},
 		RunE: func(c *cobra.Command, args []string) error {
 			client, err := o.client()
 			if err != nil {
@@ -48,11 +54,24 @@
 			if err := stop(client, m); err != nil {
 				return err
 			}
-			return o.awaitGone(c.OutOrStdout(), m)
+			return o.awaitGone(c, m)
 		},
 	}
 }
 
+// names lists the processes, for completion.
+func (o *options) names() []string {
+	members, err := o.members()
+	if err != nil {
+		return nil
+	}
+	out := make([]string, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.GetName())
+	}
+	return out
+}
+
 func (o *options) member(name string) (*controlv1.Member, error) {
 	members, err := o.members()
 	if err != nil {
@@ -84,23 +103,39 @@
 	return err
 }
 
-// awaitGone waits, without a limit, until a process has left.
-func (o *options) awaitGone(w io.Writer, m *controlv1.Member) error {
+// stopped is what is printed once a process has gone.
+type stopped struct {
+	Name string
+	// StartedAgain is true when the process has a new incarnation.
+	StartedAgain bool
+	Seconds      float64
+}
+
+// awaitGone waits, without a limit, until a process has left, and writes its
+// progress beside the output.
+func (o *options) awaitGone(c *cobra.Command, m *controlv1.Member) error {
+	begin := time.Now()
+	client := transport.NewClient()
 	for {
 		now, err := o.member(m.GetName())
-		if err != nil {
-			var gone *UnknownProcessError
-			if !errors.As(err, &gone) {
-				return err
-			}
-			_, err = fmt.Fprintln(w, m.GetName(), "has stopped")
+		var gone *UnknownProcessError
+		if err != nil && !errors.As(err, &gone) {
 			return err
 		}
-		if now.GetIncarnation() != m.GetIncarnation() {
-			_, err = fmt.Fprintln(w, m.GetName(), "has stopped and was started again")
-			return err
+		if err != nil || now.GetIncarnation() != m.GetIncarnation() {
+			s := stopped{Name: m.GetName(), StartedAgain: err == nil, Seconds: time.Since(begin).Seconds()}
+			return o.print(c.OutOrStdout(), s, s.String())
 		}
-		_, _ = fmt.Fprintln(w, m.GetName(), "is draining")
+		r := ask(client, now)
+		_, _ = fmt.Fprintf(c.ErrOrStderr(), "%s is draining: %d in flight, %d queued, %.0f s\n", r.Name, r.InFlight, r.Queued, time.Since(begin).Seconds())
 		time.Sleep(stopPoll)
 	}
 }
+
+// String says what became of the process.
+func (s stopped) String() string {
+	if s.StartedAgain {
+		return s.Name + " has stopped and was started again"
+	}
+	return s.Name + " has stopped"
+}
--- a/controls/client.go
+++ b/controls/client.go
@@ -6,13 +6,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/joomcode/errorx"
 
 	controlv1 "ebonyreel/proto/control/v1"
 	"ebonyreel/proto/control/v1/controlv1connect"
@@ -45,6 +45,23 @@
 	return c
 }
 
+// NoAnswerError reports that no control host gave an answer that counts. It is
+// a type of its own as errorx's wrappers hide their cause from errors.As.
+type NoAnswerError struct {
+	// Cause is the error of the last try.
+	Cause error
+}
+
+// Error gives the cause.
+func (e *NoAnswerError) Error() string {
+	return fmt.Sprintf("no control host answered: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *NoAnswerError) Unwrap() error {
+	return e.Cause
+}
+
 // step is one try of a call at one control host.
 type step func(ctx context.Context, p controlv1connect.ControlServiceClient) error
 
@@ -66,7 +83,7 @@
 			c.at.CompareAndSwap(int64(at), int64((at+1)%len(c.peers)))
 		}
 	}
-	return errorx.Decorate(last, "no control host answered")
+	return &NoAnswerError{Cause: last}
 }
 
 func try(ctx context.Context, p controlv1connect.ControlServiceClient, s step) error {
--- a/process/process.go
+++ b/process/process.go
@@ -6,8 +6,8 @@
 	"context"
 	"encoding/json"
 	"expvar"
+	"io"
 	"net/http"
-	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -42,9 +42,9 @@
 	}
 }
 
-// Print writes a value as indented JSON on standard output.
-func Print(v any) error {
-	e := json.NewEncoder(os.Stdout)
+// Encode writes a value as indented JSON.
+func Encode(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
 	e.SetIndent("", "  ")
 	return e.Encode(v)
 }
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -99,7 +99,7 @@
 # await_members ENVIRONMENT N waits until N processes have joined.
 await_members() {
   for _ in $(seq 100); do
-    [ "$(tool --environment "$1" status 2>/dev/null | wc -l)" -ge "$2" ] && return 0
+    [ "$(tool --environment "$1" status 2>/dev/null | tail -n +2 | wc -l)" -ge "$2" ] && return 0
     sleep 0.1
   done
   echo "only these processes of $1 have joined:" >&2
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -45,7 +45,7 @@
   local env=$1 n
   shift
   for n in "$@"; do
-    tool --environment "$env" stop "$n" >"$RUN/$n.stop" &
+    tool --environment "$env" stop "$n" >"$RUN/$n.stop" 2>&1 &
     STOPPING+=("$!")
   done
 }
