Serve those first who can still meet their target

Cause: decode memory was promised in order of arrival, so that under overload every answer missed the first token's target. Ruled out: refusing patient callers; their work waits and is answered. Change: a request says until when a grant still meets the target.

--- a/agent/generate.go
+++ b/agent/generate.go
@@ -61,6 +61,9 @@
 	if p := r.GetPatience().AsDuration(); p > 0 {
 		ask.Deadline = time.Now().Add(p)
 	}
+	if r.GetGrantWithin() != nil {
+		ask.Target = time.Now().Add(r.GetGrantWithin().AsDuration())
+	}
 	return ask
 }
 
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -44,6 +44,8 @@
 	// number is that of the current attempt; it starts at one.
 	number uint32
 	digest string
+	// arrived is when the call came.
+	arrived time.Time
 	// deadline is when the caller's patience ends; zero means never.
 	deadline time.Time
 }
@@ -51,6 +53,7 @@
 func newGeneration(v *visit, c callers.Completion, m document.Model) *generation {
 	g := &generation{
 		visit:        v,
+		arrived:      time.Now(),
 		call:         c,
 		model:        m,
 		promptTokens: len(c.Prompt)/bytesPerToken + 1,
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"ebonyreel/agents"
 	"ebonyreel/attempt"
@@ -16,6 +17,10 @@
 // reserveSilence is how long a queue may bring nothing, not even a heartbeat.
 const reserveSilence = 3 * time.Second
 
+// decodeStart is the usual time between the end of a prefill and the first
+// token, with a margin for what comes between.
+const decodeStart = 120 * time.Millisecond
+
 // held is a promise of decode memory.
 type held struct {
 	peer        *agents.Peer
@@ -128,6 +133,7 @@
 		Tokens:        uint32(g.promptTokens + g.maxTokens),
 		Priority:      uint32(g.visit.caller.Priority),
 		Patience:      g.patience(),
+		GrantWithin:   durationpb.New(g.slack()),
 		KvBytes:       uint64(g.promptTokens) * uint64(g.model.BytesPerToken),
 		ContentDigest: g.digest,
 		Isolated:      s.view.Strikes(g.digest) > 0,
@@ -149,3 +155,13 @@
 	}
 	return 0, &failure{kind: attempt.Lost, cause: &UnfinishedError{}}
 }
+
+// slack is how long a grant may take so that the first token meets its target,
+// which counts on top of the prompt's own prefill time. An answer that is
+// resumed has the same time once more.
+func (g *generation) slack() time.Duration {
+	if g.progress.Sent > 0 {
+		return time.Duration(g.model.FirstToken) - decodeStart
+	}
+	return time.Until(g.arrived.Add(time.Duration(g.model.FirstToken) - decodeStart))
+}
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -3,10 +3,7 @@
 // the time and an input, and returns effects.
 package reservation
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 const (
 	// LeaseLength is how long a promise lives after its entry's last renewal.
@@ -35,6 +32,9 @@
 	Priority int
 	// Deadline is when waiting has no more use; zero means never.
 	Deadline time.Time
+	// Target is until when a grant lets the first token come in time; zero
+	// means that there is no target.
+	Target time.Time
 }
 
 // Place says where a request stands.
@@ -94,9 +94,8 @@
 	pieces      int
 	pieceTokens int
 	// used is the sum of the pieces of all holders; it never exceeds pieces.
-	used int
-	// queue is sorted by priority, then by arrival.
-	queue []*request
+	used  int
+	queue queue
 	// holders maps a request to its promise.
 	holders map[string]*request
 	// waiting maps a request to its place in the queue.
@@ -143,15 +142,16 @@
 	if err := t.supersede(now, a.Attempt); err != nil {
 		return Place{}, Effects{}, err
 	}
-	wait := t.wait(a.Priority, pieces)
-	late := !a.Deadline.IsZero() && now.Add(wait).After(a.Deadline)
-	if len(t.queue) >= maxQueued || late {
-		return Place{}, Effects{}, &FullError{Queued: len(t.queue), RetryAfter: wait}
+	t.queue.expire(now)
+	place := t.place(now, a, pieces)
+	late := !a.Deadline.IsZero() && now.Add(place.Wait).After(a.Deadline)
+	if t.queue.count >= maxQueued || late {
+		return Place{}, Effects{}, &FullError{Queued: t.queue.count, RetryAfter: place.Wait}
 	}
 	t.order++
 	r := &request{ask: a, pieces: pieces, order: t.order, until: now.Add(LeaseLength)}
-	t.insert(r)
-	place := Place{Ahead: t.ahead(r), Wait: wait}
+	t.waiting[a.Attempt.Request] = r
+	t.queue.add(now, r)
 	return place, Effects{Granted: t.grant(now)}, nil
 }
 
@@ -176,36 +176,22 @@
 	return t.waiting[name]
 }
 
-func (t *Table) insert(r *request) {
-	t.waiting[r.ask.Attempt.Request] = r
-	at := sort.Search(len(t.queue), func(i int) bool { return goesBefore(r, t.queue[i]) })
-	t.queue = append(t.queue, nil)
-	copy(t.queue[at+1:], t.queue[at:])
-	t.queue[at] = r
-}
-
-func goesBefore(a, b *request) bool {
-	if a.ask.Priority != b.ask.Priority {
-		return a.ask.Priority > b.ask.Priority
+// place is the place of a new request. One that would miss its target while it
+// waits goes behind the late ones.
+func (t *Table) place(now time.Time, a Ask, pieces int) Place {
+	n, ahead := t.queue.ahead(a.Priority, true)
+	wait := t.wait(ahead + pieces)
+	if now.Add(wait).Before(a.Target) {
+		return Place{Ahead: n, Wait: wait}
 	}
-	return a.order < b.order
-}
-
-func (t *Table) ahead(r *request) int {
-	return sort.Search(len(t.queue), func(i int) bool { return !goesBefore(t.queue[i], r) })
+	n, ahead = t.queue.ahead(a.Priority, false)
+	return Place{Ahead: n, Wait: t.wait(ahead + pieces)}
 }
 
-// wait is the expected time until a request of a priority would be granted:
-// the memory asked for ahead of it, at the rate at which memory is given back.
-func (t *Table) wait(priority, pieces int) time.Duration {
-	ahead := 0
-	for _, r := range t.queue {
-		if r.ask.Priority < priority {
-			break
-		}
-		ahead += r.pieces
-	}
-	short := ahead + pieces - (t.pieces - t.used)
+// wait is the expected time until an amount of memory has been given back
+// beyond what is free, at the rate at which memory is given back.
+func (t *Table) wait(pieces int) time.Duration {
+	short := pieces - (t.pieces - t.used)
 	if short <= 0 {
 		return 0
 	}
@@ -214,10 +200,10 @@
 
 // grant promises free memory to those in front of the queue, in order.
 func (t *Table) grant(now time.Time) []Grant {
+	t.queue.expire(now)
 	var out []Grant
-	for len(t.queue) > 0 && t.used+t.queue[0].pieces <= t.pieces {
-		r := t.queue[0]
-		t.queue = t.queue[1:]
+	for r := t.queue.next(); r != nil && t.used+r.pieces <= t.pieces; r = t.queue.next() {
+		t.queue.take(r)
 		delete(t.waiting, r.ask.Attempt.Request)
 		t.nextID++
 		r.id, r.granted, r.until = t.nextID, now, now.Add(LeaseLength)
@@ -261,12 +247,7 @@
 		return
 	}
 	delete(t.waiting, name)
-	for i, q := range t.queue {
-		if q == r {
-			t.queue = append(t.queue[:i:i], t.queue[i+1:]...)
-			return
-		}
-	}
+	t.queue.remove(r)
 }
 
 func (t *Table) learn(stay time.Duration) {
@@ -296,12 +277,12 @@
 			e.Lapsed = append(e.Lapsed, r.ask.Attempt)
 		}
 	}
-	for _, r := range t.queue {
+	t.queue.each(func(r *request) {
 		late := !r.ask.Deadline.IsZero() && now.After(r.ask.Deadline)
 		if late || !now.Before(r.until) {
 			e.Expired = append(e.Expired, r.ask.Attempt)
 		}
-	}
+	})
 	for _, a := range append(append([]Attempt(nil), e.Lapsed...), e.Expired...) {
 		t.drop(now, t.find(a.Request))
 	}
@@ -311,11 +292,12 @@
 
 // Load returns the state of the memory.
 func (t *Table) Load() Load {
+	_, ahead := t.queue.ahead(0, true)
 	return Load{
 		PiecesFree:  t.pieces - t.used,
 		PiecesTotal: t.pieces,
 		Running:     len(t.holders),
-		Queued:      len(t.queue),
-		Wait:        t.wait(0, 1),
+		Queued:      t.queue.count,
+		Wait:        t.wait(ahead + 1),
 	}
 }
