--- /dev/null
+++ b/state/snapshot.go
@@ -0,0 +1,58 @@
+package state
+
+import (
+	"sort"
+
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"ebonyreel/document"
+	controlv1 "ebonyreel/proto/control/v1"
+)
+
+// Snapshot returns the whole state. Equal states have equal snapshots.
+func (s *State) Snapshot() *controlv1.Snapshot {
+	out := &controlv1.Snapshot{Revision: s.revision, Incarnation: s.incarnation, Time: timestamppb.New(s.latest)}
+	var environments []string
+	for e := range s.documents {
+		environments = append(environments, e)
+	}
+	sort.Strings(environments)
+	for _, e := range environments {
+		out.Documents = append(out.Documents, s.documents[e]...)
+	}
+	out.Items, _ = s.List("")
+	for _, k := range s.order {
+		out.Operations = append(out.Operations, s.operations[k])
+	}
+	return out
+}
+
+// Restore puts a snapshot in the place of the whole state. The events before
+// it are gone.
+func (s *State) Restore(from *controlv1.Snapshot) error {
+	next := New(s.history.limit)
+	next.revision, next.incarnation = from.GetRevision(), from.GetIncarnation()
+	next.history.compacted = from.GetRevision()
+	if from.GetTime() != nil {
+		next.latest = from.GetTime().AsTime()
+	}
+	for _, d := range from.GetDocuments() {
+		next.documents[d.GetEnvironment()] = append(next.documents[d.GetEnvironment()], d)
+	}
+	for e := range next.documents {
+		d, err := document.Load(next.Current(e).GetResolved())
+		if err != nil {
+			return err
+		}
+		next.retentions[e] = d.Retention
+	}
+	for _, it := range from.GetItems() {
+		next.items[it.GetKey()] = it
+	}
+	for _, o := range from.GetOperations() {
+		next.operations[operationKey(o)] = o
+		next.order = append(next.order, operationKey(o))
+	}
+	*s = *next
+	return nil
+}
--- a/state/state.go
+++ b/state/state.go
@@ -16,6 +16,9 @@
 
 // State is the whole state. It is not safe for concurrent use.
 type State struct {
+	// latest is the time of the newest command; it never goes back, whatever
+	// the clocks of the leaders say.
+	latest time.Time
 	// revision grows by one with each published change.
 	revision uint64
 	// incarnation is the last allotted incarnation; it only grows.
@@ -53,7 +56,10 @@
 // Apply carries out one command and returns its answer. An error is a result
 // like any other: every replica computes the same one.
 func (s *State) Apply(c *controlv1.Command) (proto.Message, error) {
-	now := c.GetTime().AsTime()
+	if t := c.GetTime().AsTime(); t.After(s.latest) {
+		s.latest = t
+	}
+	now := s.latest
 	switch k := c.GetKind().(type) {
 	case *controlv1.Command_Accept:
 		return s.accept(now, k.Accept)
