Promise turns at prefill engines and bind late

Cause: a prompt whose decode memory was promised queued at the one prefill engine that the entry had chosen, for longer than its target allows. Ruled out: choosing by reported load alone; reports lag. Change: an agent beside a prefill engine promises one turn at a time, in the order of the reservation table; the entry asks two agents and binds to the first that grants.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,9 +51,12 @@
 	announcement endpoints.Announcement
 	engine       *engines.Client
 	service      *services.Client
-	memory       *memory
-	canceller    *canceller
-	inflight     inflight
+	// memory promises decode memory, and turns the engine's prefill; both are
+	// nil beside a plain service.
+	memory    *memory
+	turns     *memory
+	canceller *canceller
+	inflight  inflight
 	// ready is true once nothing of an earlier agent is left at the endpoint.
 	ready atomic.Bool
 	// stop ends the goroutines of this endpoint.
@@ -105,8 +109,11 @@
 	}
 	e.engine = engines.NewClient(n.Address)
 	e.canceller = newCanceller(e.engine, a.log)
-	e.memory = newMemory(n.MemoryPieces, max(n.PieceTokens, 1), func(t reservation.Attempt) { e.canceller.cancel(engineName(t), nil) })
+	lapsed := func(t reservation.Attempt) { e.canceller.cancel(engineName(t), nil) }
+	e.memory = newMemory(n.MemoryPieces, max(n.PieceTokens, 1), lapsed)
+	e.turns = newMemory(prefillTurns, math.MaxInt32, lapsed)
 	go e.memory.run(ctx)
+	go e.turns.run(ctx)
 	go e.canceller.run(ctx)
 	go a.reconcile(ctx, e)
 	return e
@@ -140,6 +147,14 @@
 	return a.endpoint
 }
 
+// promises is what the endpoint promises in its role.
+func (e *endpoint) promises() *memory {
+	if e.announcement.Role == endpoints.RolePrefill {
+		return e.turns
+	}
+	return e.memory
+}
+
 // Up reports whether the endpoint has been heard from lately.
 func (a *Agent) Up() bool {
 	return a.current() != nil
@@ -180,6 +195,7 @@
 	a.log.Info("leaving")
 	if e := a.current(); e != nil && e.memory != nil {
 		e.memory.leave()
+		e.turns.leave()
 	}
 }
 
@@ -187,8 +203,8 @@
 func (a *Agent) InFlight() int {
 	n := int(a.working.Load())
 	if e := a.current(); e != nil && e.memory != nil {
-		l := e.memory.load()
-		n += l.Running + l.Queued
+		m, t := e.memory.load(), e.turns.load()
+		n += m.Running + m.Queued + t.Running + t.Queued
 	}
 	return n
 }
@@ -200,11 +216,11 @@
 	if e == nil {
 		return out
 	}
-	if e.announcement.Role != endpoints.RoleDecode {
+	if e.announcement.Role == endpoints.RoleService {
 		out.Queued = uint32(max(0, a.working.Load()))
 		return out
 	}
-	l := e.memory.load()
+	l := e.promises().load()
 	out.PiecesFree = uint32(l.PiecesFree)
 	out.PiecesTotal = uint32(l.PiecesTotal)
 	out.Running = uint32(l.Running)
--- a/agent/generate.go
+++ b/agent/generate.go
@@ -25,6 +25,8 @@
 	probeTimeout = 500 * time.Millisecond
 	// tokenRing bounds the tokens between the engine and a slow entry.
 	tokenRing = 256
+	// prefillTurns is the number of prompts that an engine computes at a time.
+	prefillTurns = 1
 )
 
 func attemptOf(a *agentv1.Attempt) reservation.Attempt {
@@ -37,23 +39,28 @@
 	return a.Request + "/" + strconv.FormatUint(uint64(a.Number), 10)
 }
 
-// Reserve queues a request for decode memory, and answers again with the grant.
+// Reserve queues a request for decode memory, or for a turn at a prefill
+// engine, and answers again with the grant.
 func (a *Agent) Reserve(ctx context.Context, r *connect.Request[agentv1.ReserveRequest], out *connect.ServerStream[agentv1.ReserveResponse]) error {
-	e, err := a.acceptsRole(endpoints.RoleDecode)
+	e, err := a.accepts()
 	if err != nil {
 		return notRun(err)
 	}
+	if e.memory == nil {
+		return notRun(&RoleError{Role: e.announcement.Role, Asked: endpoints.RoleDecode})
+	}
 	at := attemptOf(r.Msg.GetAttempt())
-	place, granted, err := e.memory.ask(askOf(r.Msg, at))
+	promises := e.promises()
+	place, granted, err := promises.ask(askOf(r.Msg, at))
 	if err != nil {
 		return notRun(err)
 	}
 	queued := &agentv1.ReserveResponse{Ahead: uint32(place.Ahead), ExpectedWait: duration(place.Wait), Load: a.load()}
 	if err := out.Send(queued); err != nil {
-		e.memory.release(at)
+		promises.release(at)
 		return err
 	}
-	return a.await(ctx, e, at, granted, out)
+	return a.await(ctx, promises, at, granted, out)
 }
 
 func askOf(r *agentv1.ReserveRequest, at reservation.Attempt) reservation.Ask {
@@ -68,15 +75,15 @@
 }
 
 // await sends the grant once it is there, and heartbeats until then.
-func (a *Agent) await(ctx context.Context, e *endpoint, at reservation.Attempt, granted <-chan outcome, out *connect.ServerStream[agentv1.ReserveResponse]) error {
+func (a *Agent) await(ctx context.Context, m *memory, at reservation.Attempt, granted <-chan outcome, out *connect.ServerStream[agentv1.ReserveResponse]) error {
 	beat := time.NewTicker(streamHeartbeat)
 	defer beat.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			e.memory.release(at)
+			m.release(at)
 			return ctx.Err()
-		case <-e.memory.done:
+		case <-m.done:
 			return refusal(agentv1.Refusal_CODE_ENDPOINT_CRASHED, &DownError{})
 		case o := <-granted:
 			if !o.granted {
@@ -84,12 +91,12 @@
 			}
 			err := out.Send(&agentv1.ReserveResponse{Granted: true, Reservation: o.grant.ID, Load: a.load()})
 			if err != nil {
-				e.memory.release(at)
+				m.release(at)
 			}
 			return err
 		case <-beat.C:
 			if err := out.Send(&agentv1.ReserveResponse{}); err != nil {
-				e.memory.release(at)
+				m.release(at)
 				return err
 			}
 		}
@@ -105,9 +112,16 @@
 	a.working.Add(1)
 	defer a.working.Add(-1)
 	m := r.Msg
+	at := attemptOf(m.GetAttempt())
+	if m.GetReservation() != 0 {
+		if _, err := e.turns.hold(at, m.GetReservation()); err != nil {
+			return nil, notRun(err)
+		}
+		defer e.turns.release(at)
+	}
 	ctx, span := a.tracer.Start(ctx, "Prefill")
 	defer span.End()
-	name := engineName(attemptOf(m.GetAttempt()))
+	name := engineName(at)
 	defer e.inflight.begin(name, "")()
 	res, err := e.engine.Prefill(ctx, engines.PrefillCall{
 		Request:  name,
@@ -284,6 +298,7 @@
 	if e := a.current(); e != nil && e.memory != nil {
 		at := attemptOf(r.Msg.GetAttempt())
 		name := engineName(at)
+		e.turns.release(at)
 		e.inflight.drop(name)
 		if e.inflight.runs(name) {
 			e.canceller.cancel(name, func() { e.memory.release(at) })
@@ -307,7 +322,7 @@
 	for _, t := range r.Msg.GetAttempts() {
 		attempts = append(attempts, attemptOf(t))
 	}
-	for _, t := range e.memory.renew(attempts) {
+	for _, t := range e.turns.renew(e.memory.renew(attempts)) {
 		if e.inflight.renew(engineName(t), time.Now()) {
 			continue
 		}
--- a/entry/baseline.go
+++ b/entry/baseline.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		return err
 	}
-	held, err := s.reserve(ctx, g, at)
+	held, err := s.reserveMemory(ctx, g, at)
 	if err != nil {
 		s.counts.Wasted.Add(1)
 		s.agents.Release(prefiller, at)
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -14,6 +14,7 @@
 	"ebonyreel/controls"
 	"ebonyreel/decision"
 	"ebonyreel/document"
+	"ebonyreel/endpoints"
 	"ebonyreel/placement"
 	agentv1 "ebonyreel/proto/agent/v1"
 	controlv1 "ebonyreel/proto/control/v1"
@@ -170,7 +171,7 @@
 	if !s.policy.Reserves() {
 		return s.tryUnreserved(ctx, g, at)
 	}
-	held, err := s.reserve(ctx, g, at)
+	held, err := s.reserveMemory(ctx, g, at)
 	if err != nil {
 		return err
 	}
@@ -196,6 +197,8 @@
 type loads struct {
 	members []*controlv1.Member
 	agents  *agents.Pool
+	// role is the name of the pool's role, for the record of decisions.
+	role string
 }
 
 // Len is the number of members.
@@ -212,8 +215,8 @@
 }
 
 // choice describes a placement among these members.
-func (l loads) choice(attempt uint32, role string, picked []int, chosen string) decision.Choice {
-	out := decision.Choice{Attempt: attempt, Role: role, Members: l.Len(), Chosen: chosen}
+func (l loads) choice(attempt uint32, picked []int, chosen string) decision.Choice {
+	out := decision.Choice{Attempt: attempt, Role: l.role, Members: l.Len(), Chosen: chosen}
 	for _, i := range picked {
 		k := l.Load(i)
 		out.Candidates = append(out.Candidates, decision.Candidate{
@@ -225,21 +228,21 @@
 }
 
 func (s *Server) pool(g *generation, role controlv1.Role) loads {
-	return loads{members: s.view.Members(controls.Pool{Serves: g.model.Name, Role: role}), agents: s.agents}
+	name := endpoints.RolePrefill
+	if role == controlv1.Role_ROLE_DECODE {
+		name = endpoints.RoleDecode
+	}
+	return loads{members: s.view.Members(controls.Pool{Serves: g.model.Name, Role: role}), agents: s.agents, role: name}
 }
 
-// prefill computes the prompt on the endpoint that the policy prefers.
+// prefill computes the prompt on the endpoint that grants a turn first.
 func (s *Server) prefill(ctx context.Context, g *generation, at *agentv1.Attempt) (*agentv1.KvHandle, *agents.Peer, error) {
-	c := s.pool(g, controlv1.Role_ROLE_PREFILL)
-	i := s.policy.Prefill(c, placement.Prefix(g.call.Prompt, prefixBytes))
-	if i < 0 {
-		return nil, nil, none("prefill", g.model.Name)
-	}
-	g.visit.decision.Choose(c.choice(g.number, "Prefill", []int{i}, c.members[i].GetName()))
-	p, err := s.agents.Peer(c.members[i])
+	turn, err := s.reserveTurn(ctx, g, at)
 	if err != nil {
 		return nil, nil, err
 	}
+	p := turn.peer
+	defer p.Track(at)()
 	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
 	s.counts.Prefills.Add(1)
@@ -250,6 +253,7 @@
 		Prompt:         g.call.Prompt,
 		ResumePosition: uint32(g.progress.Sent),
 		Priority:       uint32(g.visit.caller.Priority),
+		Reservation:    turn.reservation,
 	}))
 	if err != nil {
 		s.agents.Release(p, at)
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -10,6 +10,7 @@
 
 	"ebonyreel/agents"
 	"ebonyreel/attempt"
+	"ebonyreel/placement"
 	agentv1 "ebonyreel/proto/agent/v1"
 	controlv1 "ebonyreel/proto/control/v1"
 )
@@ -21,7 +22,7 @@
 // token, with a margin for what comes between.
 const decodeStart = 120 * time.Millisecond
 
-// held is a promise of decode memory.
+// held is a promise of decode memory, or of a turn at a prefill endpoint.
 type held struct {
 	peer        *agents.Peer
 	reservation uint64
@@ -55,21 +56,42 @@
 	return fmt.Sprintf("token of position %d came in place of %d", e.Got, e.Expected)
 }
 
-// reserve asks a few agents for memory and binds to the first that grants it.
-// The others are released.
-func (s *Server) reserve(ctx context.Context, g *generation, at *agentv1.Attempt) (held, error) {
+// reserveMemory has decode memory promised.
+func (s *Server) reserveMemory(ctx context.Context, g *generation, at *agentv1.Attempt) (held, error) {
 	c := s.pool(g, controlv1.Role_ROLE_DECODE)
 	picked := s.policy.Decode(c)
 	if len(picked) == 0 {
 		return held{}, none("decode", g.model.Name)
 	}
+	return s.reserve(ctx, g, at, c, picked)
+}
+
+// reserveTurn has a turn at a prefill endpoint promised. A policy that does
+// not reserve queues at the engine.
+func (s *Server) reserveTurn(ctx context.Context, g *generation, at *agentv1.Attempt) (held, error) {
+	c := s.pool(g, controlv1.Role_ROLE_PREFILL)
+	picked := s.policy.Prefill(c, placement.Prefix(g.call.Prompt, prefixBytes))
+	if len(picked) == 0 {
+		return held{}, none("prefill", g.model.Name)
+	}
+	if s.policy.Reserves() {
+		return s.reserve(ctx, g, at, c, picked)
+	}
+	g.visit.decision.Choose(c.choice(g.number, picked, c.members[picked[0]].GetName()))
+	p, err := s.agents.Peer(c.members[picked[0]])
+	return held{peer: p}, err
+}
+
+// reserve asks a few agents for a promise and binds to the first that grants
+// it. The others are released.
+func (s *Server) reserve(ctx context.Context, g *generation, at *agentv1.Attempt, c loads, picked []int) (held, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	bids := make(chan bid, len(picked))
 	for _, i := range picked {
 		go s.bid(ctx, g, at, c.members[i], bids)
 	}
-	asked := c.choice(g.number, "Decode", picked, "")
+	asked := c.choice(g.number, picked, "")
 	won, err := firstGrant(bids, len(picked))
 	if err == nil {
 		asked.Chosen = won.held.peer.Name
@@ -110,7 +132,7 @@
 	}
 }
 
-// bid waits in one agent's queue for memory.
+// bid waits in one agent's queue.
 func (s *Server) bid(ctx context.Context, g *generation, at *agentv1.Attempt, m *controlv1.Member, bids chan<- bid) {
 	p, err := s.agents.Peer(m)
 	if err != nil {
--- a/entry/service.go
+++ b/entry/service.go
@@ -17,6 +17,7 @@
 	"ebonyreel/controls"
 	"ebonyreel/decision"
 	"ebonyreel/document"
+	"ebonyreel/endpoints"
 	agentv1 "ebonyreel/proto/agent/v1"
 	controlv1 "ebonyreel/proto/control/v1"
 )
@@ -277,13 +278,14 @@
 	l := loads{
 		members: s.view.Members(controls.Pool{Serves: c.service.Name, Role: controlv1.Role_ROLE_SERVICE}),
 		agents:  s.agents,
+		role:    endpoints.RoleService,
 	}
 	picked := s.policy.Decode(l)
 	if len(picked) == 0 {
 		return nil, nil, &callers.RefusalError{Code: callers.NotRun, Message: "no endpoint serves " + c.service.Name, RetryAfter: comeBack}
 	}
 	m := l.members[picked[0]]
-	c.visit.decision.Choose(l.choice(0, "Service", picked, m.GetName()))
+	c.visit.decision.Choose(l.choice(0, picked, m.GetName()))
 	p, err := s.agents.Peer(m)
 	return m, p, err
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -36,11 +36,12 @@
 	// Decode returns the indices of the endpoints to ask for memory, best
 	// first; the first one that grants is taken.
 	Decode(c Candidates) []int
-	// Prefill returns the index of the endpoint to compute a prompt, or -1
-	// when there is none.
-	Prefill(c Candidates, prefix uint64) int
-	// Reserves reports whether decode memory is promised before the prefill
-	// starts; otherwise a computed prompt waits for memory.
+	// Prefill returns the indices of the endpoints to ask for a turn to
+	// compute a prompt, best first; the first one that grants is taken.
+	Prefill(c Candidates, prefix uint64) []int
+	// Reserves reports whether decode memory and a turn at a prefill endpoint
+	// are promised before the prefill starts; otherwise a prompt queues at the
+	// first endpoint, and the computed prompt waits for memory.
 	Reserves() bool
 }
 
@@ -98,18 +99,19 @@
 
 // Prefill prefers the endpoint that a prefix hashes to, whose cache is likely
 // to hold it, unless it is crowded.
-func (reserve) Prefill(c Candidates, prefix uint64) int {
+func (reserve) Prefill(c Candidates, prefix uint64) []int {
 	n := c.Len()
 	if n == 0 {
-		return -1
-	}
-	home := int(prefix % uint64(n))
-	if c.Load(home).Queued < crowded {
-		return home
+		return nil
 	}
 	picked := sample(n, samples)
 	sortByLoad(c, picked)
-	return picked[0]
+	picked = picked[:min(asked, len(picked))]
+	home := int(prefix % uint64(n))
+	if c.Load(home).Queued < crowded && !contains(picked, home) {
+		picked[len(picked)-1] = home
+	}
+	return picked
 }
 
 // roundRobin takes endpoints in turn.
@@ -125,11 +127,11 @@
 	return []int{int(p.decode.Add(1) % uint64(c.Len()))}
 }
 
-func (p *roundRobin) Prefill(c Candidates, _ uint64) int {
+func (p *roundRobin) Prefill(c Candidates, _ uint64) []int {
 	if c.Len() == 0 {
-		return -1
+		return nil
 	}
-	return int(p.prefill.Add(1) % uint64(c.Len()))
+	return []int{int(p.prefill.Add(1) % uint64(c.Len()))}
 }
 
 // Reserves is false.
@@ -147,11 +149,8 @@
 	return []int{least(c)}
 }
 
-func (leastLoaded) Prefill(c Candidates, _ uint64) int {
-	if c.Len() == 0 {
-		return -1
-	}
-	return least(c)
+func (l leastLoaded) Prefill(c Candidates, _ uint64) []int {
+	return l.Decode(c)
 }
 
 // Reserves is false.
