Promise decode memory ahead of its becoming free

Cause: memory stood idle from the grant to the end of the prefill. Ruled out: promising without a limit; a KV cache lives under a second. Change: the table promises as much memory beyond what is free as it expects back, at the rate of the mean stay, within the mean prefill time; 0.8 of that. A request is placed once its KV cache is there and memory is free, so that what is placed never exceeds the memory.

--- a/agent/generate.go
+++ b/agent/generate.go
@@ -51,7 +51,11 @@
 	}
 	at := attemptOf(r.Msg.GetAttempt())
 	promises := e.promises()
-	place, granted, err := promises.ask(askOf(r.Msg, at))
+	ask := askOf(r.Msg, at)
+	if promises == e.turns {
+		ask.Lead = 0
+	}
+	place, granted, err := promises.ask(ask)
 	if err != nil {
 		return notRun(err)
 	}
@@ -64,7 +68,7 @@
 }
 
 func askOf(r *agentv1.ReserveRequest, at reservation.Attempt) reservation.Ask {
-	ask := reservation.Ask{Attempt: at, Tokens: int(r.GetTokens()), Priority: int(r.GetPriority())}
+	ask := reservation.Ask{Attempt: at, Tokens: int(r.GetTokens()), Priority: int(r.GetPriority()), Lead: r.GetLead().AsDuration()}
 	if p := r.GetPatience().AsDuration(); p > 0 {
 		ask.Deadline = time.Now().Add(p)
 	}
@@ -114,7 +118,7 @@
 	m := r.Msg
 	at := attemptOf(m.GetAttempt())
 	if m.GetReservation() != 0 {
-		if _, err := e.turns.hold(at, m.GetReservation()); err != nil {
+		if err := e.turns.place(ctx, at, m.GetReservation()); err != nil {
 			return nil, notRun(err)
 		}
 		defer e.turns.release(at)
@@ -189,6 +193,9 @@
 
 // run imports a KV cache and relays its tokens.
 func (a *Agent) run(ctx context.Context, e *endpoint, m *agentv1.DecodeRequest, pieces int, out *connect.ServerStream[agentv1.DecodeResponse]) error {
+	if err := a.placeKv(ctx, e, m); err != nil {
+		return err
+	}
 	if err := a.importKv(ctx, e, m, pieces); err != nil {
 		return err
 	}
@@ -198,6 +205,21 @@
 	return a.relay(ctx, e, m, out)
 }
 
+// placeKv waits for memory that was promised ahead, no longer than the KV cache
+// lives.
+func (a *Agent) placeKv(ctx context.Context, e *endpoint, m *agentv1.DecodeRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, m.GetKv().GetLives().AsDuration())
+	defer cancel()
+	err := e.memory.place(ctx, attemptOf(m.GetAttempt()), m.GetReservation())
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return refusal(agentv1.Refusal_CODE_KV_GONE, err)
+	}
+	return notRun(err)
+}
+
 // importKv fetches the KV cache. The prefill engine says 404 or 410 when the
 // export is gone.
 func (a *Agent) importKv(ctx context.Context, e *endpoint, m *agentv1.DecodeRequest, pieces int) error {
--- a/agent/memory.go
+++ b/agent/memory.go
@@ -21,6 +21,9 @@
 	table  *reservation.Table
 	// waiters is owned by the goroutine; each has room for one outcome.
 	waiters map[reservation.Attempt]chan outcome
+	// arrivals is owned by the goroutine; each is closed when its attempt is
+	// placed.
+	arrivals map[reservation.Attempt]chan struct{}
 	// lapsed is told of granted attempts that nobody renewed.
 	lapsed func(reservation.Attempt)
 	done   chan struct{}
@@ -34,11 +37,12 @@
 
 func newMemory(pieces, pieceTokens int, lapsed func(reservation.Attempt)) *memory {
 	return &memory{
-		inputs:  make(chan func(now time.Time), memoryRing),
-		table:   reservation.New(pieces, pieceTokens),
-		waiters: map[reservation.Attempt]chan outcome{},
-		lapsed:  lapsed,
-		done:    make(chan struct{}),
+		inputs:   make(chan func(now time.Time), memoryRing),
+		table:    reservation.New(pieces, pieceTokens),
+		waiters:  map[reservation.Attempt]chan outcome{},
+		arrivals: map[reservation.Attempt]chan struct{}{},
+		lapsed:   lapsed,
+		done:     make(chan struct{}),
 	}
 }
 
@@ -64,6 +68,12 @@
 	for _, g := range e.Granted {
 		m.tell(g.Attempt, outcome{grant: g, granted: true})
 	}
+	for _, g := range e.Placed {
+		if w := m.arrivals[g.Attempt]; w != nil {
+			close(w)
+			delete(m.arrivals, g.Attempt)
+		}
+	}
 	for _, a := range e.Expired {
 		m.tell(a, outcome{})
 	}
@@ -126,6 +136,7 @@
 func (m *memory) release(a reservation.Attempt) {
 	m.do(func(now time.Time) {
 		delete(m.waiters, a)
+		delete(m.arrivals, a)
 		m.carry(m.table.Release(now, a))
 	})
 }
@@ -138,6 +149,33 @@
 	return pieces, err
 }
 
+// place waits until the memory of a promise is free, which it is at once
+// unless it was promised ahead.
+func (m *memory) place(ctx context.Context, a reservation.Attempt, id uint64) error {
+	err := error(&BusyError{})
+	w := make(chan struct{})
+	m.do(func(now time.Time) {
+		m.arrivals[a] = w
+		var e reservation.Effects
+		if e, err = m.table.Place(now, a, id); err != nil {
+			delete(m.arrivals, a)
+			return
+		}
+		m.carry(e)
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-w:
+		return nil
+	case <-m.done:
+		return &BusyError{}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (m *memory) renew(attempts []reservation.Attempt) []reservation.Attempt {
 	var unknown []reservation.Attempt
 	m.do(func(now time.Time) {
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -246,6 +246,7 @@
 	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
 	s.counts.Prefills.Add(1)
+	start := time.Now()
 	res, err := p.Client.Prefill(ctx, connect.NewRequest(&agentv1.PrefillRequest{
 		Attempt:        at,
 		Model:          g.model.Name,
@@ -260,6 +261,8 @@
 		return nil, p, err
 	}
 	p.Observe(res.Msg.GetLoad())
+	computed := int(res.Msg.GetPromptTokens()) - int(res.Msg.GetCachedTokens())
+	s.delay(g.model.Name).observe(computed, time.Since(start))
 	return res.Msg.GetKv(), p, nil
 }
 
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -156,6 +156,7 @@
 		Priority:      uint32(g.visit.caller.Priority),
 		Patience:      g.patience(),
 		GrantWithin:   durationpb.New(g.slack()),
+		Lead:          durationpb.New(s.delay(g.model.Name).prefill(g.promptTokens)),
 		KvBytes:       uint64(g.promptTokens) * uint64(g.model.BytesPerToken),
 		ContentDigest: g.digest,
 		Isolated:      s.view.Strikes(g.digest) > 0,
--- a/entry/server.go
+++ b/entry/server.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,6 +56,8 @@
 	counts  *counts
 	// decisions records why each request went where it went.
 	decisions *decision.Log
+	// delays is keyed by model name.
+	delays sync.Map
 }
 
 // NewServer returns a server that takes calls as soon as a document is known
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -14,6 +14,9 @@
 	firstService = 2 * time.Second
 	// smoothing is the weight of the newest stay in the running average.
 	smoothing = 0.1
+	// aheadShare is how much of the memory that is expected to be given back
+	// is promised ahead.
+	aheadShare = 0.8
 )
 
 // Attempt names one try of one request.
@@ -35,6 +38,8 @@
 	// Target is until when a grant lets the first token come in time; zero
 	// means that there is no target.
 	Target time.Time
+	// Lead is the time between the grant and the use of the memory.
+	Lead time.Duration
 }
 
 // Place says where a request stands.
@@ -57,6 +62,8 @@
 // Effects is what an input caused.
 type Effects struct {
 	Granted []Grant
+	// Placed are granted attempts whose memory is free now.
+	Placed []Grant
 	// Lapsed are granted attempts that ended because nobody renewed them.
 	Lapsed []Attempt
 	// Expired are waiting attempts whose deadline or lease has passed.
@@ -79,6 +86,10 @@
 	pieces int
 	// id is zero while the request waits.
 	id uint64
+	// placed is true once its memory is free for it.
+	placed bool
+	// placedAt is when that was.
+	placedAt time.Time
 	// order is that of arrival.
 	order uint64
 	// granted is when memory was promised.
@@ -87,22 +98,33 @@
 	until time.Time
 }
 
+// grant is the promise that a request holds.
+func (r *request) grant() Grant {
+	return Grant{Attempt: r.ask.Attempt, ID: r.id, Pieces: r.pieces}
+}
+
 // Table is the promises of one engine's memory. It is not safe for concurrent
 // use.
 type Table struct {
 	// pieces and pieceTokens are the size of the memory.
 	pieces      int
 	pieceTokens int
-	// used is the sum of the pieces of all holders; it never exceeds pieces.
-	used  int
-	queue queue
+	// promised is the sum of the pieces of all holders. It exceeds pieces by
+	// no more than what is expected to be given back before it is needed.
+	promised int
+	// placed is the sum of the pieces of the holders that are placed; it never
+	// exceeds pieces.
+	placed int
+	// arrivals are holders that wait to be placed, in order.
+	arrivals []*request
+	queue    queue
 	// holders maps a request to its promise.
 	holders map[string]*request
 	// waiting maps a request to its place in the queue.
 	waiting map[string]*request
 	nextID  uint64
 	order   uint64
-	// stay is the running average of the time between grant and release.
+	// stay is the running average of the time between placing and release.
 	stay time.Duration
 	// leaving is true once no new request is taken.
 	leaving bool
@@ -191,7 +213,7 @@
 // wait is the expected time until an amount of memory has been given back
 // beyond what is free, at the rate at which memory is given back.
 func (t *Table) wait(pieces int) time.Duration {
-	short := pieces - (t.pieces - t.used)
+	short := pieces - (t.pieces - t.promised)
 	if short <= 0 {
 		return 0
 	}
@@ -202,18 +224,75 @@
 func (t *Table) grant(now time.Time) []Grant {
 	t.queue.expire(now)
 	var out []Grant
-	for r := t.queue.next(); r != nil && t.used+r.pieces <= t.pieces; r = t.queue.next() {
+	for r := t.queue.next(); r != nil && t.fits(r); r = t.queue.next() {
 		t.queue.take(r)
 		delete(t.waiting, r.ask.Attempt.Request)
 		t.nextID++
 		r.id, r.granted, r.until = t.nextID, now, now.Add(LeaseLength)
-		t.used += r.pieces
+		t.promised += r.pieces
 		t.holders[r.ask.Attempt.Request] = r
-		out = append(out, Grant{Attempt: r.ask.Attempt, ID: r.id, Pieces: r.pieces})
+		out = append(out, r.grant())
+	}
+	return out
+}
+
+// fits reports whether the memory of a request is free, or is expected to be
+// free when the request needs it: what is placed is given back at the rate
+// that its mean stay sets (Little's law).
+func (t *Table) fits(r *request) bool {
+	ahead := 0.0
+	if t.stay > 0 {
+		ahead = aheadShare * float64(t.placed) * float64(r.ask.Lead) / float64(t.stay)
+	}
+	return t.promised+r.pieces <= t.pieces+int(ahead)
+}
+
+// Place asks for the memory of a promise: its KV cache is there. The grant
+// comes with the effects of this input or, once memory has been given back, of
+// a later one. The error is a *StaleError.
+func (t *Table) Place(now time.Time, a Attempt, id uint64) (Effects, error) {
+	if _, err := t.Hold(a, id); err != nil {
+		return Effects{}, err
+	}
+	r := t.holders[a.Request]
+	if !r.placed && !t.arriving(r) {
+		t.arrivals = append(t.arrivals, r)
+	}
+	return Effects{Placed: t.settle(now)}, nil
+}
+
+func (t *Table) arriving(r *request) bool {
+	for _, q := range t.arrivals {
+		if q == r {
+			return true
+		}
+	}
+	return false
+}
+
+// settle places those that have arrived, in order, as far as memory is free.
+func (t *Table) settle(now time.Time) []Grant {
+	var out []Grant
+	for len(t.arrivals) > 0 && t.placed+t.arrivals[0].pieces <= t.pieces {
+		r := t.arrivals[0]
+		t.arrivals = t.arrivals[1:]
+		r.placed, r.placedAt = true, now
+		t.placed += r.pieces
+		out = append(out, r.grant())
 	}
 	return out
 }
 
+// forget takes a request from those that have arrived.
+func (t *Table) forget(r *request) {
+	for i, q := range t.arrivals {
+		if q == r {
+			t.arrivals = append(t.arrivals[:i:i], t.arrivals[i+1:]...)
+			return
+		}
+	}
+}
+
 // Hold checks that a promise is current, and returns its memory. The error is
 // a *StaleError.
 func (t *Table) Hold(a Attempt, id uint64) (int, error) {
@@ -234,7 +313,7 @@
 		return Effects{}
 	}
 	t.drop(now, r)
-	return Effects{Granted: t.grant(now)}
+	return Effects{Placed: t.settle(now), Granted: t.grant(now)}
 }
 
 // drop removes a request and gives its memory back.
@@ -242,8 +321,12 @@
 	name := r.ask.Attempt.Request
 	if r.id != 0 {
 		delete(t.holders, name)
-		t.used -= r.pieces
-		t.learn(now.Sub(r.granted))
+		t.promised -= r.pieces
+		t.forget(r)
+		if r.placed {
+			t.placed -= r.pieces
+			t.learn(now.Sub(r.placedAt))
+		}
 		return
 	}
 	delete(t.waiting, name)
@@ -286,6 +369,7 @@
 	for _, a := range append(append([]Attempt(nil), e.Lapsed...), e.Expired...) {
 		t.drop(now, t.find(a.Request))
 	}
+	e.Placed = t.settle(now)
 	e.Granted = t.grant(now)
 	return e
 }
@@ -294,7 +378,7 @@
 func (t *Table) Load() Load {
 	_, ahead := t.queue.ahead(0, true)
 	return Load{
-		PiecesFree:  t.pieces - t.used,
+		PiecesFree:  max(0, t.pieces-t.promised),
 		PiecesTotal: t.pieces,
 		Running:     len(t.holders),
 		Queued:      t.queue.count,
