Take the freshest request first under overload

Cause: by earliest due date, each request was granted at the last moment, and the smallest delay after made it late. Ruled out: a wider margin; it refuses what could be served. Change: within a priority, the freshest of those that can still meet their target goes first. Without a queue both orders are the same.

--- a/reservation/queue.go
+++ b/reservation/queue.go
@@ -89,7 +89,7 @@
 	for i := priorities - 1; i >= 0; i-- {
 		l := &q.levels[i]
 		if len(l.fresh) > 0 && (len(l.late) == 0 || l.turns < lateTurn) {
-			return l.fresh[0]
+			return l.fresh[len(l.fresh)-1]
 		}
 		if len(l.late) > 0 {
 			return l.late[0]
