Ask four prefill endpoints for a turn

Cause: with two asked, a turn waits behind one long prompt while other engines are idle. Ruled out: asking all; the cost would grow with the endpoints. Change: all four sampled endpoints are asked.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -106,7 +106,6 @@
 	}
 	picked := sample(n, samples)
 	sortByLoad(c, picked)
-	picked = picked[:min(asked, len(picked))]
 	home := int(prefix % uint64(n))
 	if c.Load(home).Queued < crowded && !contains(picked, home) {
 		picked[len(picked)-1] = home
