--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -126,6 +126,9 @@
 	order   uint64
 	// stay is the running average of the time between placing and release.
 	stay time.Duration
+	// lead is the running average of the requests' leads: with each its own,
+	// long prompts would go before short ones.
+	lead time.Duration
 	// leaving is true once no new request is taken.
 	leaving bool
 }
@@ -170,6 +173,7 @@
 	if t.queue.count >= maxQueued || late {
 		return Place{}, Effects{}, &FullError{Queued: t.queue.count, RetryAfter: place.Wait}
 	}
+	t.lead += time.Duration(smoothing * float64(a.Lead-t.lead))
 	t.order++
 	r := &request{ask: a, pieces: pieces, order: t.order, until: now.Add(LeaseLength)}
 	t.waiting[a.Attempt.Request] = r
@@ -242,7 +246,7 @@
 func (t *Table) fits(r *request) bool {
 	ahead := 0.0
 	if t.stay > 0 {
-		ahead = aheadShare * float64(t.placed) * float64(r.ask.Lead) / float64(t.stay)
+		ahead = aheadShare * float64(t.placed) * float64(t.lead) / float64(t.stay)
 	}
 	return t.promised+r.pieces <= t.pieces+int(ahead)
 }
