--- a/reservation/reservation_test.go
+++ b/reservation/reservation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,10 +11,10 @@
 	"pgregory.net/rapid"
 )
 
-// TestTable plays the scripts in testdata. Times are milliseconds since the
+// TestTable plays the scripts in testdata/table. Times are milliseconds since the
 // start of a script.
 func TestTable(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/table", func(t *testing.T, path string) {
 		s := &script{}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			return s.run(t, d)
@@ -44,6 +45,12 @@
 		return ""
 	case "ask":
 		return s.ask(t, d, a)
+	case "place":
+		e, err := s.table.Place(s.now, a, s.ids[request])
+		if err != nil {
+			return fmt.Sprintf("%T %s\n", err, err)
+		}
+		return s.effects(e)
 	case "release":
 		return s.effects(s.table.Release(s.now, a))
 	case "renew":
@@ -63,7 +70,7 @@
 
 func (s *script) ask(t *testing.T, d *datadriven.TestData, a Attempt) string {
 	ask := Ask{Attempt: a}
-	var number, patience, within int
+	var number, patience, within, lead int
 	d.ScanArgs(t, "tokens", &ask.Tokens)
 	d.MaybeScanArgs(t, "priority", &ask.Priority)
 	if d.MaybeScanArgs(t, "attempt", &number) {
@@ -75,6 +82,9 @@
 	if d.MaybeScanArgs(t, "within", &within) {
 		ask.Target = s.now.Add(time.Duration(within) * time.Millisecond)
 	}
+	if d.MaybeScanArgs(t, "lead", &lead) {
+		ask.Lead = time.Duration(lead) * time.Millisecond
+	}
 	p, e, err := s.table.Ask(s.now, ask)
 	if err != nil {
 		return fmt.Sprintf("%T %s\n", err, err)
@@ -84,6 +94,9 @@
 
 func (s *script) effects(e Effects) string {
 	var b strings.Builder
+	for _, g := range e.Placed {
+		fmt.Fprintf(&b, "placed %s\n", g.Attempt.Request)
+	}
 	for _, g := range e.Granted {
 		s.ids[g.Attempt.Request] = g.ID
 		fmt.Fprintf(&b, "granted %s %d\n", g.Attempt.Request, g.Pieces)
@@ -97,12 +110,15 @@
 	return b.String()
 }
 
-// TestTableInvariants plays random inputs: promises never exceed the memory,
-// and every request that was taken waits, holds, or was told its end.
+// TestTableInvariants plays random inputs: what is placed never exceeds the
+// memory, promises without a lead do not either, and every request that was
+// taken waits, holds, or was told its end.
 func TestTableInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		total := rapid.IntRange(1, 30).Draw(t, "pieces")
-		m := &model{table: New(total, 100), now: time.Unix(1, 0), open: map[Attempt]int{}, total: total}
+		m := &model{table: New(total, 100), now: time.Unix(1, 0), total: total}
+		m.open, m.placed, m.ids = map[Attempt]int{}, map[Attempt]bool{}, map[Attempt]uint64{}
+		m.ahead = rapid.Bool().Draw(t, "ahead")
 		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
 			m.step(t, i)
 			m.check(t)
@@ -118,61 +134,160 @@
 	// open maps each request that was taken and not ended to the pieces that
 	// it was granted, or zero.
 	open map[Attempt]int
+	// placed are those whose memory is theirs, and ids the promises.
+	placed map[Attempt]bool
+	ids    map[Attempt]uint64
+	// ahead is true where requests have a lead.
+	ahead bool
 }
 
 func (m *model) step(t *rapid.T, i int) {
 	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
-	switch rapid.IntRange(0, 4).Draw(t, "input") {
+	switch rapid.IntRange(0, 5).Draw(t, "input") {
 	case 0, 1:
 		a := Ask{
 			Attempt:  Attempt{Request: fmt.Sprint("r", i), Number: 1},
-			Tokens:   rapid.IntRange(1, 100*m.total).Draw(t, "tokens"),
+			Tokens:   rapid.IntRange(1, 25*m.total+75).Draw(t, "tokens"),
 			Priority: rapid.IntRange(0, 9).Draw(t, "priority"),
 			Target:   m.now.Add(time.Duration(rapid.IntRange(-100, 500).Draw(t, "target")) * time.Millisecond),
 		}
+		if m.ahead {
+			a.Lead = time.Duration(rapid.IntRange(0, 3000).Draw(t, "lead")) * time.Millisecond
+		}
 		_, e, err := m.table.Ask(m.now, a)
 		if err != nil {
 			t.Fatal(err)
 		}
 		m.open[a.Attempt] = 0
-		m.take(e)
+		m.take(t, e)
 	case 2:
-		for a := range m.open {
-			delete(m.open, a)
-			m.take(m.table.Release(m.now, a))
-			break
+		if a, ok := m.draw(t); ok {
+			m.forget(a)
+			m.take(t, m.table.Release(m.now, a))
 		}
 	case 3:
 		for a := range m.open {
 			m.table.Renew(m.now, []Attempt{a})
 		}
 	case 4:
-		m.take(m.table.Tick(m.now))
+		a, ok := m.draw(t)
+		if !ok || m.ids[a] == 0 {
+			return
+		}
+		e, err := m.table.Place(m.now, a, m.ids[a])
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.take(t, e)
+	case 5:
+		m.take(t, m.table.Tick(m.now))
 	}
 }
 
-func (m *model) take(e Effects) {
+// draw returns one of the requests that have not ended, if there is one.
+func (m *model) draw(t *rapid.T) (Attempt, bool) {
+	all := []Attempt{}
+	for a := range m.open {
+		all = append(all, a)
+	}
+	if len(all) == 0 {
+		return Attempt{}, false
+	}
+	slices.SortFunc(all, func(a, b Attempt) int { return strings.Compare(a.Request, b.Request) })
+	return rapid.SampledFrom(all).Draw(t, "request"), true
+}
+
+func (m *model) take(t *rapid.T, e Effects) {
 	for _, g := range e.Granted {
-		m.open[g.Attempt] = g.Pieces
+		m.open[g.Attempt], m.ids[g.Attempt] = g.Pieces, g.ID
+	}
+	for _, g := range e.Placed {
+		if m.open[g.Attempt] == 0 {
+			t.Fatalf("placed %s, which holds nothing", g.Attempt.Request)
+		}
+		m.placed[g.Attempt] = true
 	}
 	for _, a := range append(e.Lapsed, e.Expired...) {
-		delete(m.open, a)
+		m.forget(a)
 	}
 }
 
+func (m *model) forget(a Attempt) {
+	delete(m.open, a)
+	delete(m.placed, a)
+	delete(m.ids, a)
+}
+
 func (m *model) check(t *rapid.T) {
-	used, waiting := 0, 0
-	for _, p := range m.open {
+	used, placed, waiting := 0, 0, 0
+	for a, p := range m.open {
 		used += p
+		if m.placed[a] {
+			placed += p
+		}
 		if p == 0 {
 			waiting++
 		}
 	}
 	l := m.table.Load()
-	if used > m.total || m.total-l.PiecesFree != used {
-		t.Fatalf("granted %d of %d pieces, the table says %d are free", used, m.total, l.PiecesFree)
+	if placed > m.total || !m.ahead && used > m.total || l.PiecesFree != max(0, m.total-used) {
+		t.Fatalf("granted %d and placed %d of %d pieces, the table says %d are free", used, placed, m.total, l.PiecesFree)
 	}
 	if l.Queued != waiting || l.Running != len(m.open)-waiting {
 		t.Fatalf("%d wait and %d hold, the table says %d and %d", waiting, len(m.open)-waiting, l.Queued, l.Running)
 	}
 }
+
+// TestLateIsServed has fresh requests come without end: a late one of the same
+// priority is served all the same.
+func TestLateIsServed(t *testing.T) {
+	now := time.Unix(1, 0)
+	b := New(1, 100)
+	ask := func(name string, target time.Time) Attempt {
+		a := Attempt{Request: name, Number: 1}
+		if _, _, err := b.Ask(now, Ask{Attempt: a, Tokens: 100, Target: target}); err != nil {
+			t.Fatal(err)
+		}
+		return a
+	}
+	holder := ask("first", time.Time{})
+	late := ask("late", time.Time{})
+	for i := range lateTurn + 2 {
+		ask(fmt.Sprint("fresh ", i), now.Add(time.Second))
+		e := b.Release(now, holder)
+		holder = e.Granted[0].Attempt
+		if holder == late {
+			return
+		}
+	}
+	t.Error("the late request was not served")
+}
+
+// BenchmarkTable is one request's way through a table with others waiting.
+func BenchmarkTable(b *testing.B) {
+	for _, waiting := range []int{20, 200, 3100} {
+		b.Run(fmt.Sprint(waiting, " waiting"), func(b *testing.B) {
+			now := time.Unix(1, 0)
+			t := New(40, 2000)
+			ask := func(i int) Attempt {
+				a := Attempt{Request: fmt.Sprint(i), Number: 1}
+				_, _, err := t.Ask(now, Ask{Attempt: a, Tokens: 4000, Priority: 5, Target: now.Add(200 * time.Millisecond)})
+				if err != nil {
+					b.Fatal(err)
+				}
+				return a
+			}
+			held := []Attempt{}
+			for i := range 20 + waiting {
+				held = append(held, ask(i))
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(time.Millisecond)
+				held = append(held, ask(20+waiting+i))
+				t.Release(now, held[0])
+				held = held[1:]
+			}
+		})
+	}
+}
