Retire control hosts that are no longer listed, and measure control

Cause: a host of another name joined as a fourth voter and the lost one stayed in the quorum for good. The cost of commits and of a change of leader was not known.

Change: a leader removes a server that is not listed once more hosts count than are listed. The harness takes benchmarks too.

Ruled out: removing an unlisted host before its replacement counts, which leaves two hosts that may both not be lost.

Trial without retirement: not run.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 LINT     := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 SEEDS    ?= 20
 
-.PHONY: build demo test lint format generate proof bench
+.PHONY: build demo test lint format generate proof bench bench-control
 
 build:
 	@mkdir -p build
@@ -45,3 +45,7 @@
 # The policy under load and faults; CASE, DEPLOYMENT, POLICY, SEED choose runs.
 bench: build
 	@scripts/bench.sh
+
+# Commits, failover, time to in force, and watching against polling.
+bench-control: build
+	@go test -count=1 -run '^$$' -bench Control -benchtime 1x -timeout 20m ./proof/...
--- a/control/inputs.go
+++ b/control/inputs.go
@@ -41,13 +41,17 @@
 // founded reports whether more than half of the listed hosts count in the
 // quorum. Before that the loss of one disk could be the loss of everything.
 func (l *loop) founded() bool {
-	voters := 0
+	return l.voters() > len(l.peers.hosts)/2
+}
+
+func (l *loop) voters() int {
+	n := 0
 	for _, s := range l.last.Configuration.GetServers() {
 		if !s.GetLearner() {
-			voters++
+			n++
 		}
 	}
-	return voters > len(l.peers.hosts)/2
+	return n
 }
 
 // translate puts an address in the place of a server.
--- a/control/loop.go
+++ b/control/loop.go
@@ -88,6 +88,7 @@
 			l.drain()
 		}
 		l.node.Tick(time.Now())
+		l.retire(time.Now())
 		if err := l.settle(); err != nil {
 			return err
 		}
@@ -230,6 +231,23 @@
 	}
 }
 
+// retire removes a server whose host is no longer listed, once its replacement
+// counts.
+func (l *loop) retire(now time.Time) {
+	if l.last.Role != replica.Leader || l.voters() <= len(l.peers.hosts) {
+		return
+	}
+	for _, s := range l.last.Configuration.GetServers() {
+		if l.peers.listed(s.GetName()) {
+			continue
+		}
+		if l.node.Change(now, replica.Remove, s) == nil {
+			l.log.WithField("Name", s.GetName()).Info("host retired")
+		}
+		return
+	}
+}
+
 func (l *loop) notLeader() error {
 	return &NotLeaderError{Address: l.peers.address(l.peers.name(l.last.Leader))}
 }
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -15,6 +15,7 @@
 	m.Set("Term", expvar.Func(func() any { return s.Status().Term }))
 	m.Set("Commit", expvar.Func(func() any { return s.Status().Commit }))
 	m.Set("Voter", expvar.Func(func() any { return s.Status().Voter }))
+	m.Set("Servers", expvar.Func(func() any { return s.Status().Servers }))
 	m.Set("DroppedMessages", expvar.Func(func() any { return s.dropped.Load() }))
 	return m
 }
--- a/control/store.go
+++ b/control/store.go
@@ -41,9 +41,11 @@
 	// Empty is true while the host has no state and knows of no other host.
 	Empty bool
 	// Voter is true while the host counts in the quorum.
-	Voter  bool
-	Term   uint64
-	Commit uint64
+	Voter bool
+	// Servers are the names of the hosts that count in the quorum.
+	Servers []string
+	Term    uint64
+	Commit  uint64
 	// touched is when the host was last in touch with a quorum's leader.
 	touched time.Time
 }
@@ -202,7 +204,7 @@
 	}
 	s.status = Status{
 		Leads: leads, Leader: s.peers.name(r.Leader), Address: leader, Empty: len(r.Configuration.GetServers()) == 0,
-		Voter: s.counts(r.Configuration), Term: r.Term, Commit: r.Commit, touched: touched,
+		Voter: s.counts(r.Configuration), Servers: voterNames(r.Configuration), Term: r.Term, Commit: r.Commit, touched: touched,
 	}
 }
 
@@ -215,6 +217,16 @@
 	return false
 }
 
+func voterNames(c *replicav1.Configuration) []string {
+	var out []string
+	for _, o := range c.GetServers() {
+		if !o.GetLearner() {
+			out = append(out, o.GetName())
+		}
+	}
+	return out
+}
+
 // apply carries out a committed command.
 func (s *Store) apply(c *controlv1.Command) (proto.Message, error) {
 	s.mu.Lock()
--- /dev/null
+++ b/proof/control_bench_test.go
@@ -0,0 +1,350 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sirupsen/logrus"
+
+	"ebonyreel/controls"
+	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/transport"
+)
+
+const (
+	// clockTicksPerSecond is the unit of processor time in /proc.
+	clockTicksPerSecond = 100
+	benchLength         = 4 * time.Second
+	changesPerBench     = 40
+	changeInterval      = 100 * time.Millisecond
+	pollInterval        = time.Second
+	benchItems          = 200
+)
+
+// quantiles are the latencies of one measurement.
+type quantiles struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+func newQuantiles() *quantiles {
+	return &quantiles{h: hdrhistogram.New(1, time.Minute.Microseconds(), 3)}
+}
+
+func (q *quantiles) add(d time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	_ = q.h.RecordValue(d.Microseconds())
+}
+
+func (q *quantiles) report(b *testing.B, unit string) {
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(q.h.ValueAtQuantile(50))/1000, "p50-ms"+unit)
+	b.ReportMetric(float64(q.h.ValueAtQuantile(99))/1000, "p99-ms"+unit)
+	b.ReportMetric(float64(q.h.Max())/1000, "max-ms"+unit)
+}
+
+// BenchmarkControlCommits compares commits by three hosts with a bare append
+// and sync on the same disk.
+func BenchmarkControlCommits(b *testing.B) {
+	b.Run("bare", func(b *testing.B) { bareSync(b, 400) })
+	for _, callers := range []int{1, 16, 128} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) { commits(b, callers) })
+	}
+	b.Run("bare-again", func(b *testing.B) { bareSync(b, 400) })
+}
+
+func bareSync(b *testing.B, size int) {
+	f, err := os.Create(filepath.Join(b.TempDir(), "bare"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	q, n := newQuantiles(), 0
+	start := time.Now()
+	for time.Since(start) < benchLength {
+		from := time.Now()
+		if _, err := f.Write(make([]byte, size)); err != nil {
+			b.Fatal(err)
+		}
+		if err := f.Sync(); err != nil {
+			b.Fatal(err)
+		}
+		q.add(time.Since(from))
+		n++
+	}
+	q.report(b, "")
+	b.ReportMetric(float64(n)/time.Since(start).Seconds(), "syncs/s")
+}
+
+func commits(b *testing.B, callers int) {
+	h := benchHosts(b)
+	q := newQuantiles()
+	var done atomic.Int64
+	var all sync.WaitGroup
+	end := time.Now().Add(benchLength)
+	for i := range callers {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			client := controls.NewClient(transport.NewClient(), h.c.direct)
+			for n := 0; time.Now().Before(end); n++ {
+				from := time.Now()
+				if begin(client, fmt.Sprintf("%d-%d", i, n)) == nil {
+					q.add(time.Since(from))
+					done.Add(1)
+				}
+			}
+		}()
+	}
+	all.Wait()
+	q.report(b, "")
+	b.ReportMetric(float64(done.Load())/benchLength.Seconds(), "commits/s")
+}
+
+// benchHosts starts three control hosts without links between them.
+func benchHosts(b *testing.B) *hosts {
+	b.Helper()
+	c := newCluster(b, "archive-trial")
+	h := c.startHosts(3, false)
+	h.leader()
+	return h
+}
+
+// BenchmarkControlFailover measures the longest time without an answer to a
+// caller around a kill and around a planned stop of the leader.
+func BenchmarkControlFailover(b *testing.B) {
+	for _, way := range []string{"kill", "stop"} {
+		b.Run(way, func(b *testing.B) {
+			h := benchHosts(b)
+			q := newQuantiles()
+			for round := range 10 {
+				q.add(h.gap(b, way, round))
+			}
+			q.report(b, "-without-leader")
+		})
+	}
+}
+
+// gap returns the longest time between two commits while the leader ends.
+func (h *hosts) gap(b *testing.B, way string, round int) time.Duration {
+	b.Helper()
+	at := h.leader()
+	client := controls.NewClient(transport.NewClient(), h.c.direct)
+	var longest atomic.Int64
+	ctx, stop := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	all.Add(1)
+	go func() {
+		defer all.Done()
+		last := time.Now()
+		for n := 0; ctx.Err() == nil; n++ {
+			if begin(client, fmt.Sprintf("%d-%d", round, n)) == nil {
+				longest.Store(max(longest.Load(), int64(time.Since(last))))
+				last = time.Now()
+			}
+		}
+	}()
+	time.Sleep(300 * time.Millisecond)
+	if way == "kill" {
+		h.procs[at].kill()
+	} else if !h.procs[at].stop(10 * time.Second) {
+		b.Error("the leader did not stop")
+	}
+	time.Sleep(3 * time.Second)
+	stop()
+	all.Wait()
+	h.c.launch(h.procs[at])
+	eventually(b, 20*time.Second, "all hosts follow", func() bool {
+		for i := range h.procs {
+			if !h.status(i).Voter || h.status(i).Leader == "" {
+				return false
+			}
+		}
+		return true
+	})
+	return time.Duration(longest.Load())
+}
+
+// BenchmarkControlInForce measures the time from the acceptance of a document
+// until it is in force at the last of the processes that watch.
+func BenchmarkControlInForce(b *testing.B) {
+	for _, n := range []int{20, 200, 2000} {
+		b.Run(fmt.Sprintf("processes=%d", n), func(b *testing.B) {
+			h := benchHosts(b)
+			views := h.watch(b, n, transport.NewClient())
+			q := newQuantiles()
+			for number := uint64(1); number <= 20; number++ {
+				d := variant(b, number, 1)
+				if r := submitted(h.c.client(), d, 1); r.unknown || r.refused {
+					b.Fatalf("document %d: %+v", number, r)
+				}
+				from := time.Now()
+				awaitNumber(b, views, number)
+				q.add(time.Since(from))
+			}
+			q.report(b, "-in-force")
+		})
+	}
+}
+
+func (h *hosts) watch(b *testing.B, n int, client *http.Client) []*controls.View {
+	b.Helper()
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	var views []*controls.View
+	for range n {
+		v := controls.NewView(controls.NewClient(client, h.c.direct), h.c.environment, logrus.NewEntry(log))
+		views = append(views, v)
+		go v.Run(b.Context())
+	}
+	return views
+}
+
+func awaitNumber(b *testing.B, views []*controls.View, number uint64) {
+	b.Helper()
+	for _, v := range views {
+		for end := time.Now().Add(20 * time.Second); ; {
+			changed := v.Changed()
+			if d := v.Document(); d != nil && d.Number >= number {
+				break
+			}
+			select {
+			case <-changed:
+			case <-time.After(time.Until(end)):
+				b.Fatalf("document %d is not in force", number)
+			}
+		}
+	}
+}
+
+// counted counts the bytes that a client gets.
+type counted struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+func countingClient(read *atomic.Int64) *http.Client {
+	h := transport.NewClient()
+	t := h.Transport.(*http.Transport)
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return counted{Conn: c, read: read}, err
+	}
+	return h
+}
+
+// BenchmarkControlWatch compares list and watch with polling of the whole
+// state: bytes and processor time of the control host, for each change and for
+// each process that starts.
+func BenchmarkControlWatch(b *testing.B) {
+	for _, n := range []int{20, 200, 2000} {
+		for _, way := range []string{"watch", "poll"} {
+			b.Run(fmt.Sprintf("%s/watchers=%d", way, n), func(b *testing.B) { followers(b, way, n) })
+		}
+	}
+}
+
+func followers(b *testing.B, way string, n int) {
+	c := newCluster(b, "archive-trial")
+	h := &hosts{c: c, procs: []*proc{c.control("control-0")}}
+	eventually(b, 10*time.Second, "control leads", func() bool { return h.status(0).Leads })
+	if r := submitted(c.client(), variant(b, 1, 1), 1); r.unknown {
+		b.Fatal("document not accepted")
+	}
+	operator := c.client()
+	fill(b, operator)
+	var read atomic.Int64
+	client := countingClient(&read)
+	began := cost{cpu: cpuTime(b, h.procs[0]), bytes: read.Load()}
+	if way == "watch" {
+		awaitNumber(b, h.watch(b, n, client), 1)
+	} else {
+		pollAll(b, n, client, c.direct)
+	}
+	time.Sleep(pollInterval)
+	started := cost{cpu: cpuTime(b, h.procs[0]), bytes: read.Load()}
+	for i := range changesPerBench {
+		change(b, operator, i%benchItems)
+		time.Sleep(changeInterval)
+	}
+	ended := cost{cpu: cpuTime(b, h.procs[0]), bytes: read.Load()}
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(started.bytes-began.bytes)/float64(n), "B/start")
+	b.ReportMetric(float64((started.cpu-began.cpu).Microseconds())/float64(n), "cpu-us/start")
+	b.ReportMetric(float64(ended.bytes-started.bytes)/changesPerBench, "B/change")
+	b.ReportMetric(float64((ended.cpu-started.cpu).Microseconds())/changesPerBench/1000, "cpu-ms/change")
+}
+
+type cost struct {
+	cpu   time.Duration
+	bytes int64
+}
+
+// cpuTime returns the processor time that a process has used.
+func cpuTime(b *testing.B, p *proc) time.Duration {
+	b.Helper()
+	s, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	f := strings.Fields(string(s[strings.LastIndex(string(s), ")")+1:]))
+	user, _ := strconv.Atoi(f[11])
+	system, _ := strconv.Atoi(f[12])
+	return time.Duration(user+system) * time.Second / clockTicksPerSecond
+}
+
+// fill makes the state as large as that of a small environment.
+func fill(b *testing.B, client *controls.Client) {
+	b.Helper()
+	for i := range benchItems {
+		change(b, client, i)
+	}
+}
+
+// change changes one item of the state.
+func change(b *testing.B, client *controls.Client, i int) {
+	b.Helper()
+	r := &controlv1.AddStrikesRequest{Environment: "archive-trial", ContentDigests: []string{fmt.Sprintf("%064d", i)}}
+	if _, err := client.AddStrikes(context.Background(), r); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// pollAll has a number of processes list the whole state each second.
+func pollAll(b *testing.B, n int, client *http.Client, addresses []netip.AddrPort) {
+	for range n {
+		p := controls.NewClient(client, addresses)
+		go func() {
+			time.Sleep(rand.N(pollInterval))
+			t := time.NewTicker(pollInterval)
+			defer t.Stop()
+			for b.Context().Err() == nil {
+				_, _ = p.List(b.Context(), "archive-trial/")
+				select {
+				case <-b.Context().Done():
+				case <-t.C:
+				}
+			}
+		}()
+	}
+}
--- a/proof/control_history_test.go
+++ b/proof/control_history_test.go
@@ -132,7 +132,7 @@
 }
 
 // variant is a document of a number, made different by its submitter.
-func variant(t *testing.T, number uint64, from int) []byte {
+func variant(t testing.TB, number uint64, from int) []byte {
 	b, err := os.ReadFile("../examples/archive.json")
 	if err != nil {
 		t.Fatal(err)
@@ -149,7 +149,7 @@
 	return b
 }
 
-func digestOf(t *testing.T, b []byte) string {
+func digestOf(t testing.TB, b []byte) string {
 	d, err := document.Parse(b)
 	if err != nil {
 		t.Fatal(err)
--- a/proof/control_hosts_test.go
+++ b/proof/control_hosts_test.go
@@ -10,9 +10,14 @@
 	"path/filepath"
 	"time"
 
+	"ebonyreel/controls"
+	controlv1 "ebonyreel/proto/control/v1"
 	"ebonyreel/settings"
 )
 
+// operationDigest stands for the body of a recorded operation.
+const operationDigest = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+
 // hosts are the control hosts of a cluster. Each dials each other one through
 // a link of its own, so that single directions can be cut.
 type hosts struct {
@@ -22,23 +27,25 @@
 	links [][]*link
 }
 
-// controlHosts starts a number of control hosts and waits until all of them
-// count in the quorum.
+// controlHosts starts a number of control hosts with links between them, and
+// waits until all of them count in the quorum.
 func (c *cluster) controlHosts(n int) *hosts {
+	c.t.Helper()
+	return c.startHosts(n, true)
+}
+
+func (c *cluster) startHosts(n int, linked bool) *hosts {
 	c.t.Helper()
 	h := &hosts{c: c, links: make([][]*link, n)}
 	for i := range n {
 		h.procs = append(h.procs, &proc{name: fmt.Sprintf("control-%d", i), program: "control", address: freeAddress(c.t), operators: freeAddress(c.t)})
 	}
 	for i, p := range h.procs {
-		s := settings.Control{
-			Name: p.name, FailureDomain: "osu", Peers: p.address, Operators: p.operators,
-			DataFolder: filepath.Join(c.dir, p.name+".data"), WatchHistory: 1000,
-		}
+		s := c.hostSettings(p)
 		h.links[i] = make([]*link, n)
 		for j, o := range h.procs {
 			to := o.address
-			if i != j {
+			if i != j && linked {
 				h.links[i][j] = newLink(c.t, p.name+o.name, to)
 				to = h.links[i][j].address
 			}
@@ -54,6 +61,14 @@
 	return h
 }
 
+// hostSettings returns the settings of a control host but for its list.
+func (c *cluster) hostSettings(p *proc) settings.Control {
+	return settings.Control{
+		Name: p.name, FailureDomain: "osu", Peers: p.address, Operators: p.operators,
+		DataFolder: filepath.Join(c.dir, p.name+".data"), WatchHistory: 1000,
+	}
+}
+
 // hostStatus is what a control host publishes of itself.
 type hostStatus struct {
 	Leads  bool
@@ -61,6 +76,8 @@
 	Term   uint64
 	Voter  bool
 	Commit uint64
+	// Servers are the hosts that count.
+	Servers []string
 }
 
 // status returns what a host publishes of itself; zero if it does not answer.
@@ -110,3 +127,12 @@
 func (h *hosts) addresses() []netip.AddrPort {
 	return h.c.controls
 }
+
+// begin records an operation under a key, dispatched under the same name.
+func begin(client *controls.Client, key string) error {
+	_, err := client.BeginOperation(context.Background(), &controlv1.Operation{
+		Environment: "archive-trial", Caller: "reading-room", Key: key, BodyDigest: operationDigest,
+		Agent: "service-0", AgentIncarnation: 1, Entry: "entry-0", Dispatch: key,
+	})
+	return err
+}
--- /dev/null
+++ b/proof/control_replace_test.go
@@ -0,0 +1,48 @@
+package proof
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"ebonyreel/settings"
+)
+
+// TestControlReplaced puts a host of another name in the place of one that is
+// gone: the list is changed and the others restarted by planned stops. The new
+// host counts, the old one does not, and the documents are there. Then a
+// second host is lost.
+func TestControlReplaced(t *testing.T) {
+	c := newCluster(t, "archive-trial")
+	h := c.startHosts(3, false)
+	first := submitNumber(t, c, 1)
+	h.procs[2].kill()
+	h.procs[2] = &proc{name: "control-3", program: "control", address: freeAddress(t), operators: freeAddress(t)}
+	var list []settings.ControlHost
+	for _, p := range h.procs {
+		list = append(list, settings.ControlHost{Name: p.name, Address: p.address})
+	}
+	for i, p := range h.procs {
+		if i < 2 && !p.stop(10*time.Second) {
+			t.Fatalf("%s did not stop", p.name)
+		}
+		s := c.hostSettings(p)
+		s.Cluster = list
+		c.start(p, s)
+		if i < 2 {
+			eventually(t, 15*time.Second, p.name+" follows", func() bool { return i == 0 || h.status(i).Leader != "" })
+		}
+	}
+	eventually(t, 20*time.Second, "the new host counts and the old one does not", func() bool {
+		s := h.status(h.leader()).Servers
+		return len(s) == 3 && slices.Contains(s, "control-3") && !slices.Contains(s, "control-2")
+	})
+	c.controls[2], c.direct[2] = h.procs[2].address, h.procs[2].address
+	h.procs[0].kill()
+	eventually(t, 15*time.Second, "a read after the loss of a second host", func() bool {
+		return readDocument(c.client()).seen == first
+	})
+	if next := submitNumber(t, c, 2); next == first {
+		t.Error("no second document")
+	}
+}
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -56,7 +56,7 @@
 
 // cluster is the processes of one test.
 type cluster struct {
-	t           *testing.T
+	t           testing.TB
 	dir         string
 	environment string
 	controls    []netip.AddrPort
@@ -105,13 +105,13 @@
 	ended   chan struct{}
 }
 
-func newCluster(t *testing.T, environment string) *cluster {
+func newCluster(t testing.TB, environment string) *cluster {
 	t.Helper()
 	return &cluster{t: t, dir: t.TempDir(), environment: environment, proxied: map[string]bool{}, links: map[string]*link{}}
 }
 
 // freeAddress returns a loopback address that nobody listens on.
-func freeAddress(t *testing.T) netip.AddrPort {
+func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -329,7 +329,7 @@
 }
 
 // eventually polls until a condition holds, and fails the test at the limit.
-func eventually(t *testing.T, limit time.Duration, what string, holds func() bool) {
+func eventually(t testing.TB, limit time.Duration, what string, holds func() bool) {
 	t.Helper()
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if holds() {
--- a/proof/proxy_test.go
+++ b/proof/proxy_test.go
@@ -28,7 +28,7 @@
 // silence the connections that are open, which toxiproxy cannot; all other
 // faults are toxiproxy's.
 type link struct {
-	t *testing.T
+	t testing.TB
 	// address is where the dialling side finds the link.
 	address  netip.AddrPort
 	listener net.Listener
@@ -63,7 +63,7 @@
 }
 
 // newLink puts a proxy before an address.
-func newLink(t *testing.T, name string, upstream netip.AddrPort) *link {
+func newLink(t testing.TB, name string, upstream netip.AddrPort) *link {
 	t.Helper()
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
 	p := toxiproxy.NewProxy(server, name, "127.0.0.1:0", upstream.String())
