Show that processes resume, that bad input changes nothing, and weigh watching

Cause: nothing showed that a process passed by hundreds of changes comes to the newest state; a document of 10 MB was accepted; list and watch was kept without a figure.

Change: TestControlResume and TestControlBadInput over real processes.

--- a/document/parse.go
+++ b/document/parse.go
@@ -12,7 +12,7 @@
 )
 
 // MaxBytes is the size of the largest document that is read.
-const MaxBytes = 32 << 20
+const MaxBytes = 8 << 20
 
 // CheckError reports everything that is wrong with a document.
 type CheckError struct {
--- /dev/null
+++ b/proof/control_input_test.go
@@ -0,0 +1,76 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"ebonyreel/controls"
+	controlv1 "ebonyreel/proto/control/v1"
+)
+
+const (
+	megabyte = 1 << 20
+	// answerTarget bounds the refusal of a bad document.
+	answerTarget = 2 * time.Second
+)
+
+// TestControlBadInput sends what must be refused: each refusal says why, comes
+// soon, and nothing changes.
+func TestControlBadInput(t *testing.T) {
+	c := newCluster(t, "archive-trial")
+	c.control("control-0")
+	submitNumber(t, c, 1)
+	client := c.client()
+	if err := begin(client, "key"); err != nil {
+		t.Fatal(err)
+	}
+	before := state(t, client)
+	good := variant(t, 2, 1)
+	for _, b := range []struct {
+		name string
+		// document is submitted; says is part of the refusal.
+		document []byte
+		says     string
+	}{
+		{"10 MB", append(bytes.Repeat([]byte(" "), 10*megabyte), good...), "at most 8388608 bytes"},
+		{"10 MB text", bytes.Replace(good, []byte(`"summariser"`), []byte(`"`+strings.Repeat("s", 10*megabyte)+`"`), 1), "at most 8388608 bytes"},
+		{"deep nesting", []byte(strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)), "JSON"},
+		{"deep objects", []byte(strings.Repeat(`{"Models":`, 100_000) + "1" + strings.Repeat("}", 100_000)), "JSON"},
+		{"wrong types", bytes.Replace(good, []byte(`"Number":2`), []byte(`"Number":"two"`), 1), "Number"},
+		{"empty", nil, "JSON"},
+		{"unknown field", bytes.Replace(good, []byte(`"Number":2`), []byte(`"Number":2,"Numbr":3`), 1), "Numbr"},
+		{"number below", variant(t, 1, 7), "Number 1"},
+	} {
+		from := time.Now()
+		_, err := client.Submit(context.Background(), &controlv1.SubmitRequest{Environment: "archive-trial", Document: b.document, Submitter: "proof"})
+		if r := controls.Reason(err); r == nil || !strings.Contains(r.GetReason(), b.says) {
+			t.Errorf("%s: found %.300v, expected a refusal that says %q", b.name, err, b.says)
+		}
+		if d := time.Since(from); d > answerTarget {
+			t.Errorf("%s: refused after %s", b.name, d)
+		}
+	}
+	_, err := client.BeginOperation(context.Background(), &controlv1.Operation{
+		Environment: "archive-trial", Caller: "reading-room", Key: "key", BodyDigest: "another", Dispatch: "another",
+	})
+	if controls.Reason(err).GetCode() != controlv1.Refusal_CODE_CONFLICT {
+		t.Errorf("a reused key with another body: %v", err)
+	}
+	if after := state(t, client); after != before {
+		t.Errorf("the state changed from %s to %s", before, after)
+	}
+}
+
+// state returns what is published, in short.
+func state(t *testing.T, client *controls.Client) string {
+	t.Helper()
+	res, err := client.List(context.Background(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprint(res.GetRevision(), len(res.GetItems()))
+}
--- /dev/null
+++ b/proof/control_resume_test.go
@@ -0,0 +1,70 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"ebonyreel/controls"
+	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/transport"
+)
+
+// TestControlResume cuts a process off while changes pass it by: fewer than
+// the hosts keep, so that it resumes, and then more, so that it lists again.
+// Both times it comes to what a process without memory sees.
+func TestControlResume(t *testing.T) {
+	c := newCluster(t, "archive-trial")
+	h := c.startHosts(3, false)
+	submitNumber(t, c, 1)
+	var links []*link
+	var addresses []netip.AddrPort
+	for i, a := range c.direct {
+		links = append(links, newLink(t, fmt.Sprintf("watch-%d", i), a))
+		addresses = append(addresses, links[i].address)
+	}
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	v := controls.NewView(controls.NewClient(transport.NewClient(), addresses), "archive-trial", logrus.NewEntry(log))
+	go v.Run(t.Context())
+	eventually(t, inForceTarget, "document 1 in force", func() bool { return v.Document() != nil })
+	h.leader()
+	number := uint64(1)
+	for _, changes := range []int{300, 1200} {
+		for _, l := range links {
+			l.cut(toServer, toClient)
+		}
+		for i := range changes {
+			// The early changes are of items that do not change again.
+			digest := fmt.Sprintf("%d-%d", changes, min(i, changes/8))
+			r := &controlv1.AddStrikesRequest{Environment: "archive-trial", ContentDigests: []string{digest}}
+			if _, err := c.client().AddStrikes(context.Background(), r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		number++
+		submitNumber(t, c, number)
+		for _, l := range links {
+			l.heal()
+		}
+		eventually(t, 2*inForceTarget, fmt.Sprintf("all of %d changes", changes), func() bool { return sameStrikes(t, c, v, number) })
+	}
+}
+
+// sameStrikes compares a view with a list of the state.
+func sameStrikes(t *testing.T, c *cluster, v *controls.View, number uint64) bool {
+	t.Helper()
+	res, err := c.client().List(context.Background(), "archive-trial/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, it := range res.GetItems() {
+		if s := it.GetStrikes(); s != nil && v.Strikes(s.GetContentDigest()) != s.GetCount() {
+			return false
+		}
+	}
+	return v.Document().Number == number && v.Revision() == res.GetRevision()
+}
