Run recorded calls by a dispatch number, as a state machine

Cause: the agent knew an operation by caller and key, so a key that was ruled out at an agent could never run there again, and a key that was evicted from its bounded list could run twice. Retention of one environment dropped the records of another, and one open record stopped all forgetting. A resend while control was silent was told "not run" of a key that may have run. A longer answer than 4 MiB was cut without a word. The query was not part of the digest.

Ruled out: keys in the agent's log with a time limit (no equal clocks); answering a new incarnation's refusal as unknown (every call to an agent that was restarted would stay unknown for good; the refusal is proof, as one dispatch travels on one connection).

Change: control allots each dispatch a number; agent, settling and finishing go by it. Package operation holds both sides without I/O: the entry's call and the agent's log, which forgets ended numbers only below a floor it refuses. An outcome that nobody could prove gives way to a proof. A refused dispatch goes to another endpoint. Records are forgotten per environment, open ones last.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -41,7 +41,7 @@
 	// first is closed once the first endpoint takes work.
 	first  chan struct{}
 	joined sync.Once
-	calls  *callLog
+	calls  callLog
 	// base ends with the process.
 	base context.Context
 }
@@ -71,7 +71,6 @@
 		log:       log,
 		tracer:    t,
 		first:     make(chan struct{}),
-		calls:     newCallLog(),
 		base:      ctx,
 	}
 }
--- a/agent/errors.go
+++ b/agent/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -43,6 +44,27 @@
 	return "endpoint has the role " + e.Role + ", not " + e.Asked
 }
 
+// IncarnationError reports an operation that was recorded for another
+// incarnation of the agent.
+type IncarnationError struct {
+	Asked uint64
+}
+
+// Error names the incarnation.
+func (e *IncarnationError) Error() string {
+	return fmt.Sprintf("agent is not incarnation %d", e.Asked)
+}
+
+// StartedError reports an operation that was started or ruled out before.
+type StartedError struct {
+	Outcome agentv1.SettleOutcome
+}
+
+// Error says what is known of the operation.
+func (e *StartedError) Error() string {
+	return "operation does not start again: " + e.Outcome.String()
+}
+
 func duration(d time.Duration) *durationpb.Duration {
 	return durationpb.New(d)
 }
--- a/callers/refusal.go
+++ b/callers/refusal.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// KeyHeader carries a caller's key for a call that must run at most once.
+const KeyHeader = "Idempotency-Key"
+
 // Code is the kind of a refusal. The set is small and documented for callers.
 type Code string
 
@@ -28,8 +31,10 @@
 	// InProgress means that a call with this key is still running.
 	InProgress Code = "in_progress"
 	// TooMany means that the caller is over its rate or its calls in flight;
-	// the work did not happen.
+	// this call was not taken.
 	TooMany Code = "too_many"
+	// AnswerGone means that the call ran once, and that its answer is not kept.
+	AnswerGone Code = "answer_gone"
 	// Broken ends an answer that has started and cannot go on.
 	Broken Code = "broken"
 )
@@ -42,6 +47,7 @@
 	Conflict:       http.StatusUnprocessableEntity,
 	InProgress:     http.StatusConflict,
 	TooMany:        http.StatusTooManyRequests,
+	AnswerGone:     http.StatusGone,
 	Broken:         http.StatusBadGateway,
 }
 
--- a/control/errors.go
+++ b/control/errors.go
@@ -105,5 +105,9 @@
 		}
 		return connect.CodeUnavailable, r
 	}
+	var full *state.FullError
+	if errors.As(err, &full) {
+		return connect.CodeResourceExhausted, &controlv1.Refusal{Code: controlv1.Refusal_CODE_FULL}
+	}
 	return connect.CodeUnavailable, &controlv1.Refusal{}
 }
--- /dev/null
+++ b/entry/operation.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"ebonyreel/agents"
+	"ebonyreel/callers"
+	"ebonyreel/controls"
+	"ebonyreel/operation"
+	agentv1 "ebonyreel/proto/agent/v1"
+	controlv1 "ebonyreel/proto/control/v1"
+)
+
+// settleTimeout bounds the question to an agent what became of a call.
+const settleTimeout = 2 * time.Second
+
+// recordedCall is a service call with a record on its way.
+type recordedCall struct {
+	*serviceCall
+	operation.Call
+	// member is the agent that the newest record of this call was made for.
+	member *controlv1.Member
+}
+
+// callRecorded records an operation before its dispatch and its result after,
+// so that it runs at most once whatever is sent again. It goes on when the
+// caller is gone, as the outcome must be recorded.
+func (s *Server) callRecorded(ctx context.Context, c *serviceCall) (*agentv1.CallResponse, error) {
+	ctx = context.WithoutCancel(ctx)
+	r := &recordedCall{serviceCall: c}
+	next := operation.Begin
+	for next != operation.Reply {
+		switch next {
+		case operation.Begin:
+			next = s.begin(ctx, r)
+		case operation.Dispatch:
+			next = s.dispatchRecorded(ctx, r)
+		case operation.Settle:
+			next = s.settle(ctx, r)
+		default:
+			next = s.finish(ctx, r)
+		}
+	}
+	return verdict(r)
+}
+
+// begin records a dispatch to an endpoint that was not tried.
+func (s *Server) begin(ctx context.Context, r *recordedCall) operation.Action {
+	m, err := s.pickService(r.serviceCall)
+	if err != nil {
+		return r.BeginFailed()
+	}
+	r.member = m
+	res, err := s.client.BeginOperation(ctx, &controlv1.Operation{
+		Environment:      m.GetEnvironment(),
+		Caller:           r.visit.caller.Name,
+		Key:              r.key,
+		BodyDigest:       r.digest,
+		Agent:            m.GetName(),
+		AgentIncarnation: m.GetIncarnation(),
+		Entry:            s.name,
+		Dispatch:         rand.Text(),
+	})
+	if err == nil {
+		return r.Begun(res.GetOperation(), res.GetCreated())
+	}
+	if controls.Reason(err).GetCode() == controlv1.Refusal_CODE_CONFLICT {
+		return r.BeginConflict()
+	}
+	r.visit.log.WithError(err).Warn("operation not recorded")
+	return r.BeginFailed()
+}
+
+// dispatchRecorded sends the call, unless the lease lapsed meanwhile.
+func (s *Server) dispatchRecorded(ctx context.Context, r *recordedCall) operation.Action {
+	if !s.announcer.Current(time.Now()) {
+		return r.Undone()
+	}
+	res, err := s.dispatch(ctx, r.serviceCall, r.member, r.Record)
+	if err == nil {
+		return r.Ran(res)
+	}
+	r.visit.log.WithError(err).Warn("dispatch failed")
+	if serviceRefusal(err).Code == callers.NotRun {
+		return r.Undone()
+	}
+	return r.Unclear()
+}
+
+// settle asks the agent of a record what became of its dispatch.
+func (s *Server) settle(ctx context.Context, r *recordedCall) operation.Action {
+	m := s.member(r.Record)
+	if m == nil {
+		return r.Lost()
+	}
+	p, err := s.agents.Peer(m)
+	if err != nil {
+		return r.Unsettled()
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	res, err := p.Client.Settle(ctx, connect.NewRequest(&agentv1.SettleRequest{
+		Caller:           r.visit.caller.Name,
+		Key:              r.key,
+		AgentIncarnation: r.Record.GetAgentIncarnation(),
+		Operation:        r.Record.GetNumber(),
+	}))
+	if err == nil {
+		return r.Settled(res.Msg.GetOutcome(), res.Msg.GetAnswer())
+	}
+	var refused *agents.RefusalError
+	if errors.As(agents.Received(err), &refused) && refused.Code == agentv1.Refusal_CODE_STALE {
+		return r.Lost()
+	}
+	return r.Unsettled()
+}
+
+// member returns the agent that an operation was recorded for, if that very
+// incarnation is still there.
+func (s *Server) member(o *controlv1.Operation) *controlv1.Member {
+	for _, m := range s.view.All() {
+		if m.GetName() == o.GetAgent() && m.GetIncarnation() == o.GetAgentIncarnation() {
+			return m
+		}
+	}
+	return nil
+}
+
+// finish records an outcome.
+func (s *Server) finish(ctx context.Context, r *recordedCall) operation.Action {
+	res, err := s.client.FinishOperation(ctx, r.Record)
+	if err != nil {
+		r.visit.log.WithError(err).Warn("outcome not recorded")
+		return r.FinishFailed()
+	}
+	return r.Finished(res)
+}
+
+// verdict turns the verdict on a call into its answer or refusal.
+func verdict(r *recordedCall) (*agentv1.CallResponse, error) {
+	switch r.Verdict {
+	case operation.Answered:
+		if r.Answer != nil {
+			return r.Answer, nil
+		}
+		return nil, &callers.RefusalError{Code: callers.AnswerGone, Message: "the call ran once, and its answer was too long to be kept"}
+	case operation.NotRun:
+		return nil, &callers.RefusalError{Code: callers.NotRun, Message: "the call did not run", RetryAfter: comeBack}
+	case operation.Running:
+		return nil, &callers.RefusalError{Code: callers.InProgress, Message: "a call with this key is still running", RetryAfter: comeBack}
+	case operation.Conflict:
+		return nil, &callers.RefusalError{Code: callers.Conflict, Message: "the Idempotency-Key was used with another call"}
+	}
+	if r.Open {
+		return nil, &callers.RefusalError{Code: callers.OutcomeUnknown, Message: "the call may have run; send its key again to learn more", RetryAfter: comeBack}
+	}
+	return nil, &callers.RefusalError{Code: callers.OutcomeUnknown, Message: "nobody can prove whether the call ran"}
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -106,7 +106,7 @@
 	v := &visit{writer: w, request: r, id: id, decision: s.decisions.Begin(id, time.Now())}
 	leave, err := s.admit(v)
 	if err != nil {
-		s.refuse(v, err)
+		s.refuse(v, unproved(v, err))
 		return
 	}
 	defer leave()
@@ -157,6 +157,16 @@
 	callers.Refuse(v.writer, v.id, r)
 }
 
+// unproved weakens a refusal of a call that was not looked up in the records:
+// one with its key may have run before.
+func unproved(v *visit, err error) error {
+	var r *callers.RefusalError
+	if errors.As(err, &r) && r.Code == callers.NotRun && v.request.Header.Get(callers.KeyHeader) != "" {
+		return &callers.RefusalError{Code: callers.OutcomeUnknown, Message: r.Message, RetryAfter: r.RetryAfter}
+	}
+	return err
+}
+
 // refusalOf returns the refusal in an error. Any other error says nothing
 // about what has run.
 func refusalOf(err error) *callers.RefusalError {
--- a/entry/service.go
+++ b/entry/service.go
@@ -1,11 +1,12 @@
 package entry
 
 import (
+	"cmp"
 	"context"
-	"crypto/rand"
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"slices"
 	"time"
 
@@ -20,12 +21,16 @@
 	"ebonyreel/endpoints"
 	agentv1 "ebonyreel/proto/agent/v1"
 	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/transport"
 )
 
 const (
 	// serviceTries bounds the tries of an idempotent call.
 	serviceTries = 3
 	maxKeyBytes  = 256
+	// leavingMemory is how long a report of an agent that leaves counts; by
+	// then the membership tells, or the agent was started again.
+	leavingMemory = 3 * time.Second
 )
 
 // serviceCall is one call of a plain service on its way.
@@ -38,6 +43,8 @@
 	// key is the caller's Idempotency-Key; it may be empty.
 	key    string
 	digest string
+	// tried names the agents that the call was sent to.
+	tried map[string]bool
 }
 
 // service answers a call of a plain service.
@@ -59,7 +66,12 @@
 }
 
 func readServiceCall(v *visit) (*serviceCall, error) {
-	c := &serviceCall{visit: v, path: "/" + v.request.PathValue("path"), key: v.request.Header.Get("Idempotency-Key")}
+	c := &serviceCall{
+		visit: v,
+		path:  "/" + v.request.PathValue("path"),
+		key:   v.request.Header.Get(callers.KeyHeader),
+		tried: map[string]bool{},
+	}
 	name := v.request.PathValue("service")
 	d, ok := v.document.Service(name)
 	if !ok || !slices.Contains(v.caller.Services, name) {
@@ -76,7 +88,7 @@
 	if c.body, err = io.ReadAll(http.MaxBytesReader(v.writer, v.request.Body, callers.MaxBodyBytes)); err != nil {
 		return nil, &callers.RefusalError{Code: callers.NotUnderstood, Message: "body: " + err.Error()}
 	}
-	c.digest = document.Digest([]byte(v.request.Method + "\x00" + name + c.path + "\x00" + string(c.body)))
+	c.digest = document.Digest([]byte(v.request.Method + "\x00" + name + target(c) + "\x00" + string(c.body)))
 	return c, nil
 }
 
@@ -100,160 +112,37 @@
 
 // callRepeatable tries an idempotent call at a few endpoints.
 func (s *Server) callRepeatable(ctx context.Context, c *serviceCall) (*agentv1.CallResponse, error) {
+	return s.callTried(ctx, c, func(error) bool { return true })
+}
+
+// callOnce dispatches a call without a key until one agent starts it, and then
+// never again.
+func (s *Server) callOnce(ctx context.Context, c *serviceCall) (*agentv1.CallResponse, error) {
+	return s.callTried(ctx, c, func(err error) bool { return serviceRefusal(err).Code == callers.NotRun })
+}
+
+// callTried tries a call at one endpoint after another while again allows it.
+func (s *Server) callTried(ctx context.Context, c *serviceCall, again func(err error) bool) (*agentv1.CallResponse, error) {
 	var last error
 	for i := range serviceTries {
 		if i > 0 && !s.retries.Allow() {
 			break
 		}
-		m, p, err := s.pickService(c)
+		m, err := s.pickService(c)
 		if err != nil {
-			return nil, err
+			return nil, cmp.Or(last, err)
 		}
-		res, err := s.dispatch(ctx, c, m, p, uint32(i+1))
+		res, err := s.dispatch(ctx, c, m, &controlv1.Operation{AgentIncarnation: m.GetIncarnation()})
 		if err == nil {
 			return res, nil
 		}
-		last = err
-	}
-	return nil, serviceRefusal(last)
-}
-
-// callOnce dispatches a call without a key at most once.
-func (s *Server) callOnce(ctx context.Context, c *serviceCall) (*agentv1.CallResponse, error) {
-	m, p, err := s.pickService(c)
-	if err != nil {
-		return nil, err
-	}
-	res, err := s.dispatch(ctx, c, m, p, 1)
-	if err != nil {
-		return nil, serviceRefusal(err)
-	}
-	return res, nil
-}
-
-// callRecorded records an operation before its dispatch and its result after,
-// so that it runs at most once whatever is sent again.
-func (s *Server) callRecorded(ctx context.Context, c *serviceCall) (*agentv1.CallResponse, error) {
-	m, p, err := s.pickService(c)
-	if err != nil {
-		return nil, err
-	}
-	o := s.operation(c, m)
-	res, err := s.client.BeginOperation(ctx, o)
-	if err != nil {
-		return nil, recordRefusal(err)
-	}
-	if !res.GetCreated() {
-		return s.recorded(ctx, c, res.GetOperation())
-	}
-	if !s.announcer.Current(time.Now()) {
-		return nil, &callers.RefusalError{Code: callers.OutcomeUnknown, Message: "the lease lapsed before the call", RetryAfter: comeBack}
-	}
-	answer, err := s.dispatch(ctx, c, m, p, 1)
-	return s.conclude(ctx, o, answer, err)
-}
-
-func (s *Server) operation(c *serviceCall, m *controlv1.Member) *controlv1.Operation {
-	return &controlv1.Operation{
-		Environment:      m.GetEnvironment(),
-		Caller:           c.visit.caller.Name,
-		Key:              c.key,
-		BodyDigest:       c.digest,
-		Agent:            m.GetName(),
-		AgentIncarnation: m.GetIncarnation(),
-		Entry:            s.name,
-		Dispatch:         rand.Text(),
-	}
-}
-
-// conclude records what a dispatch came to and returns the caller's answer.
-func (s *Server) conclude(ctx context.Context, o *controlv1.Operation, answer *agentv1.CallResponse, err error) (*agentv1.CallResponse, error) {
-	refused := serviceRefusal(err)
-	switch {
-	case err == nil:
-		o.State = controlv1.OperationState_OPERATION_STATE_DONE
-		o.Status, o.ContentType, o.Answer = answer.GetStatus(), answer.GetContentType(), answer.GetBody()
-	case refused.Code == callers.NotRun:
-		o.State = controlv1.OperationState_OPERATION_STATE_NOT_RUN
-	default:
-		// The record stays open: a later resend settles it with the agent.
-		return nil, refused
-	}
-	if _, e := s.client.FinishOperation(context.WithoutCancel(ctx), o); e != nil {
-		s.log.WithError(e).Warn("outcome not recorded")
-	}
-	if err != nil {
-		return nil, refused
-	}
-	return answer, nil
-}
-
-// recorded answers from the record of an earlier call with the same key.
-func (s *Server) recorded(ctx context.Context, c *serviceCall, o *controlv1.Operation) (*agentv1.CallResponse, error) {
-	switch o.GetState() {
-	case controlv1.OperationState_OPERATION_STATE_DONE:
-		return &agentv1.CallResponse{Status: o.GetStatus(), ContentType: o.GetContentType(), Body: o.GetAnswer()}, nil
-	case controlv1.OperationState_OPERATION_STATE_UNKNOWN:
-		return nil, &callers.RefusalError{Code: callers.OutcomeUnknown, Message: "nobody can prove whether the call ran"}
-	}
-	return s.settle(ctx, c, o)
-}
-
-// settle asks the agent of an open record what became of the call.
-func (s *Server) settle(ctx context.Context, c *serviceCall, o *controlv1.Operation) (*agentv1.CallResponse, error) {
-	running := &callers.RefusalError{Code: callers.InProgress, Message: "a call with this key is still running", RetryAfter: comeBack}
-	m := s.member(o)
-	if m == nil {
-		return s.lost(ctx, o)
-	}
-	p, err := s.agents.Peer(m)
-	if err != nil {
-		return nil, running
-	}
-	res, err := p.Client.Settle(ctx, connect.NewRequest(&agentv1.SettleRequest{
-		Caller: c.visit.caller.Name, Key: c.key, AgentIncarnation: o.GetAgentIncarnation(),
-	}))
-	if err != nil {
-		return nil, running
-	}
-	switch res.Msg.GetOutcome() {
-	case agentv1.SettleOutcome_SETTLE_OUTCOME_DONE:
-		return s.conclude(ctx, o, res.Msg.GetAnswer(), nil)
-	case agentv1.SettleOutcome_SETTLE_OUTCOME_NEVER:
-		return s.conclude(ctx, o, nil, &callers.RefusalError{Code: callers.NotRun, Message: "the call did not run", RetryAfter: comeBack})
-	case agentv1.SettleOutcome_SETTLE_OUTCOME_UNKNOWN:
-		return s.lost(ctx, o)
-	}
-	return nil, running
-}
-
-// member returns the agent that an operation was recorded for, if that very
-// incarnation is still there.
-func (s *Server) member(o *controlv1.Operation) *controlv1.Member {
-	for _, m := range s.view.All() {
-		if m.GetName() == o.GetAgent() && m.GetIncarnation() == o.GetAgentIncarnation() {
-			return m
+		last = serviceRefusal(err)
+		if !again(err) || ctx.Err() != nil {
+			break
 		}
+		s.counts.Retried.Add(1)
 	}
-	return nil
-}
-
-// lost records that nobody can prove whether a call ran.
-func (s *Server) lost(ctx context.Context, o *controlv1.Operation) (*agentv1.CallResponse, error) {
-	o.State = controlv1.OperationState_OPERATION_STATE_UNKNOWN
-	if _, err := s.client.FinishOperation(ctx, o); err != nil {
-		s.log.WithError(err).Warn("outcome not recorded")
-	}
-	return nil, &callers.RefusalError{Code: callers.OutcomeUnknown, Message: "nobody can prove whether the call ran"}
-}
-
-// recordRefusal turns an error of the record into a refusal: nothing was
-// dispatched yet.
-func recordRefusal(err error) error {
-	if controls.Reason(err).GetCode() == controlv1.Refusal_CODE_CONFLICT {
-		return &callers.RefusalError{Code: callers.Conflict, Message: controls.Reason(err).GetReason()}
-	}
-	return &callers.RefusalError{Code: callers.NotRun, Message: "the call could not be recorded", RetryAfter: comeBack}
+	return nil, last
 }
 
 // serviceRefusal turns an error of a dispatch into a refusal, or nil.
@@ -267,34 +156,51 @@
 	}
 	out := &callers.RefusalError{Code: callers.OutcomeUnknown, Message: err.Error()}
 	var r *agents.RefusalError
-	if errors.As(agents.Received(err), &r) && r.Code == agentv1.Refusal_CODE_NOT_RUN {
+	var unsent *transport.DialError
+	switch {
+	case errors.As(agents.Received(err), &r) && r.Code == agentv1.Refusal_CODE_NOT_RUN:
 		out.Code, out.RetryAfter = callers.NotRun, max(r.RetryAfter, comeBack)
+	case errors.As(err, &unsent):
+		out.Code, out.RetryAfter = callers.NotRun, comeBack
 	}
 	return out
 }
 
-// pickService chooses an endpoint of a plain service.
-func (s *Server) pickService(c *serviceCall) (*controlv1.Member, *agents.Peer, error) {
-	l := loads{
-		members: s.view.Members(controls.Pool{Serves: c.service.Name, Role: controlv1.Role_ROLE_SERVICE}),
-		agents:  s.agents,
-		role:    endpoints.RoleService,
+// pickService chooses an endpoint of a plain service that this call has not
+// tried; when all were tried, any of them.
+func (s *Server) pickService(c *serviceCall) (*controlv1.Member, error) {
+	all := s.view.Members(controls.Pool{Serves: c.service.Name, Role: controlv1.Role_ROLE_SERVICE})
+	l := loads{agents: s.agents, role: endpoints.RoleService}
+	for _, m := range all {
+		k := s.agents.Load(m)
+		if leaving := k.Leaving && time.Since(k.At) < leavingMemory; !leaving && !c.tried[m.GetName()] {
+			l.members = append(l.members, m)
+		}
+	}
+	if len(l.members) == 0 {
+		l.members = all
 	}
 	picked := s.policy.Decode(l)
 	if len(picked) == 0 {
-		return nil, nil, &callers.RefusalError{Code: callers.NotRun, Message: "no endpoint serves " + c.service.Name, RetryAfter: comeBack}
+		return nil, &callers.RefusalError{Code: callers.NotRun, Message: "no endpoint serves " + c.service.Name, RetryAfter: comeBack}
 	}
 	m := l.members[picked[0]]
 	c.visit.decision.Choose(l.choice(0, picked, m.GetName()))
-	p, err := s.agents.Peer(m)
-	return m, p, err
+	c.tried[m.GetName()] = true
+	return m, nil
 }
 
-func (s *Server) dispatch(ctx context.Context, c *serviceCall, m *controlv1.Member, p *agents.Peer, number uint32) (*agentv1.CallResponse, error) {
+// dispatch sends a call to an agent, once. A call with a record carries its
+// number.
+func (s *Server) dispatch(ctx context.Context, c *serviceCall, m *controlv1.Member, o *controlv1.Operation) (*agentv1.CallResponse, error) {
+	p, err := s.agents.Peer(m)
+	if err != nil {
+		return nil, &callers.RefusalError{Code: callers.NotRun, Message: err.Error(), RetryAfter: comeBack}
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.call.Timeout))
 	defer cancel()
 	res, err := p.Client.Call(ctx, connect.NewRequest(&agentv1.CallRequest{
-		Attempt:          &agentv1.Attempt{Request: c.visit.id, Number: number, Entry: s.name},
+		Attempt:          &agentv1.Attempt{Request: c.visit.id, Number: uint32(len(c.tried)), Entry: s.name},
 		Service:          c.service.Name,
 		Method:           c.visit.request.Method,
 		Path:             target(c),
@@ -304,7 +210,8 @@
 		Caller:           c.visit.caller.Name,
 		Key:              c.key,
 		BodyDigest:       c.digest,
-		AgentIncarnation: m.GetIncarnation(),
+		AgentIncarnation: o.GetAgentIncarnation(),
+		Operation:        o.GetNumber(),
 		Timeout:          durationpb.New(time.Duration(c.call.Timeout)),
 	}))
 	if err != nil {
@@ -314,10 +221,8 @@
 	return res.Msg, nil
 }
 
-// target is the path of a call with its query.
+// target is the path of a call with its query, as it goes to the service.
 func target(c *serviceCall) string {
-	if q := c.visit.request.URL.RawQuery; q != "" {
-		return c.path + "?" + q
-	}
-	return c.path
+	u := url.URL{Path: c.path, RawQuery: c.visit.request.URL.RawQuery}
+	return u.RequestURI()
 }
--- a/services/client.go
+++ b/services/client.go
@@ -54,6 +54,14 @@
 	return e.Cause
 }
 
+// TooLongError reports an answer that is longer than MaxBodyBytes.
+type TooLongError struct{}
+
+// Error names the bound.
+func (*TooLongError) Error() string {
+	return fmt.Sprintf("answer is longer than %d bytes", MaxBodyBytes)
+}
+
 // Client calls one plain service. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
@@ -94,10 +102,13 @@
 		return Answer{}, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, MaxBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(res.Body, MaxBodyBytes+1))
 	if err != nil {
 		return Answer{}, err
 	}
+	if len(body) > MaxBodyBytes {
+		return Answer{}, &TooLongError{}
+	}
 	return Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, nil
 }
 
--- a/state/errors.go
+++ b/state/errors.go
@@ -58,6 +58,18 @@
 	return fmt.Sprintf("%s runs as incarnation %d, not %d", e.Name, e.Current, e.Asked)
 }
 
+// FullError reports that nothing more can be kept.
+type FullError struct {
+	// Subject is what is kept.
+	Subject string
+	Kept    int
+}
+
+// Error says how much is kept.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("%s: %d are open, as many as are kept", e.Subject, e.Kept)
+}
+
 // CompactedError reports that the events asked for are no longer kept.
 type CompactedError struct {
 	// Compacted is the newest revision that is gone.
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -21,9 +21,21 @@
 		out.Documents = append(out.Documents, s.documents[e]...)
 	}
 	out.Items, _ = s.List("")
-	for _, k := range s.order {
-		out.Operations = append(out.Operations, s.operations[k])
+	for _, e := range sorted(s.order) {
+		for _, k := range s.order[e] {
+			out.Operations = append(out.Operations, s.operations[k])
+		}
+	}
+	return out
+}
+
+// sorted returns the environments that have operations, in order.
+func sorted(order map[string][]string) []string {
+	var out []string
+	for e := range order {
+		out = append(out, e)
 	}
+	sort.Strings(out)
 	return out
 }
 
@@ -51,7 +63,7 @@
 	}
 	for _, o := range from.GetOperations() {
 		next.operations[operationKey(o)] = o
-		next.order = append(next.order, operationKey(o))
+		next.order[o.GetEnvironment()] = append(next.order[o.GetEnvironment()], operationKey(o))
 	}
 	*s = *next
 	return nil
--- a/state/state.go
+++ b/state/state.go
@@ -21,7 +21,8 @@
 	latest time.Time
 	// revision grows by one with each published change.
 	revision uint64
-	// incarnation is the last allotted incarnation; it only grows.
+	// incarnation is the last number allotted to a start of a process or to a
+	// dispatch of an operation; it only grows.
 	incarnation uint64
 	// documents maps an environment to its accepted documents, oldest first.
 	documents map[string][]*controlv1.Document
@@ -31,8 +32,9 @@
 	items map[string]*controlv1.Item
 	// operations maps a key to the record of a non-idempotent call.
 	operations map[string]*controlv1.Operation
-	// order lists the keys of operations, the least recently begun first.
-	order []string
+	// order maps an environment to the keys of its operations, the least
+	// recently created first.
+	order map[string][]string
 	// history holds the newest events for watchers that resume.
 	history history
 }
@@ -44,6 +46,7 @@
 		retentions: map[string]document.Retention{},
 		items:      map[string]*controlv1.Item{},
 		operations: map[string]*controlv1.Operation{},
+		order:      map[string][]string{},
 		history:    history{limit: events},
 	}
 }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -33,15 +33,39 @@
 	}
 }
 
+// DialError reports a call that was never sent, as no connection was made.
+type DialError struct {
+	Address string
+	Cause   error
+}
+
+// Error names the address and the cause.
+func (e *DialError) Error() string {
+	return "connect to " + e.Address + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error {
+	return e.Cause
+}
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: dialTimeout}
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, &DialError{Address: address, Cause: err}
+	}
+	return c, nil
+}
+
 // NewClient returns a client for the RPCs between processes.
 func NewClient() *http.Client {
 	p := &http.Protocols{}
 	p.SetUnencryptedHTTP2(true)
-	d := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
 		Protocols:   p,
 		HTTP2:       pings(),
-		DialContext: d.DialContext,
+		DialContext: dial,
 	}}
 }
 
