Send keys again through real processes while they fail

Cause: at most once was shown by a model only. Ports for tests came from the range of outgoing connections, which may take one before its process listens.

Ports lie below the range of outgoing connections. The schedules with two faults run in make proof.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 
 # Histories of real processes under failures; SEED=n repeats a run.
 proof: build
+	@go test -count=1 -v ./operation -run TestEverySchedule -args -deep
 	@go test -count=1 -v -timeout 60m ./proof/... -args -seed $(or $(SEED),1) -seeds $(SEEDS)
 
 # The policy under load and faults; CASE, DEPLOYMENT, POLICY, SEED choose runs.
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -110,15 +111,25 @@
 	return &cluster{t: t, dir: t.TempDir(), environment: environment, proxied: map[string]bool{}, links: map[string]*link{}}
 }
 
+// lowestPort and highestPort lie below the ports that the system gives to
+// outgoing connections, which could take one before its process listens.
+const (
+	lowestPort  = 10_000
+	highestPort = 32_000
+)
+
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+		l, err := net.Listen("tcp", a.String())
+		if err == nil {
+			_ = l.Close()
+			return a
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
 // start writes settings and starts a program with them.
