Hold callers to their limits over all entries, and calls to bounds

Cause: each entry gave a caller its whole rate and concurrency. A body that never came, and an answer that nobody read, held a call for good. A plain service got more calls in flight than declared. A path with dots in it passed as a declared call and reached another one: TestBadInput found /holds/%2e%2e/secret run as /secret.

Ruled out: a count through control (a message for each call); shares that follow the demand (one more agreement).

Change: each entry gives an equal share; deadlines for reading a body and writing a plain answer; the agent refuses calls beyond the service's concurrency; paths that another reader could resolve are refused.

Fairness in queues is not part of this.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -38,6 +38,8 @@
 	leaving atomic.Bool
 	// working counts calls in flight.
 	working atomic.Int64
+	// serving counts the calls inside a plain service.
+	serving atomic.Int64
 	// first is closed once the first endpoint takes work.
 	first  chan struct{}
 	joined sync.Once
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -94,6 +94,11 @@
 	if err != nil {
 		return nil, notRun(err)
 	}
+	running := a.serving.Add(1)
+	defer a.serving.Add(-1)
+	if d, ok := a.view.Document().Service(m.GetService()); !ok || running > int64(d.Concurrency) {
+		return nil, notRun(&CrowdedError{Service: m.GetService(), Allowed: d.Concurrency})
+	}
 	ctx, span := a.tracer.Start(ctx, "Call")
 	defer span.End()
 	ctx, cancel := context.WithTimeout(ctx, m.GetTimeout().AsDuration())
--- a/agent/errors.go
+++ b/agent/errors.go
@@ -44,6 +44,18 @@
 	return "endpoint has the role " + e.Role + ", not " + e.Asked
 }
 
+// CrowdedError reports a plain service with as many calls in flight as the
+// document allows.
+type CrowdedError struct {
+	Service string
+	Allowed int
+}
+
+// Error names the service and the bound.
+func (e *CrowdedError) Error() string {
+	return fmt.Sprintf("%s has %d calls in flight, as many as allowed", e.Service, e.Allowed)
+}
+
 // IncarnationError reports an operation that was recorded for another
 // incarnation of the agent.
 type IncarnationError struct {
--- a/callers/answer.go
+++ b/callers/answer.go
@@ -26,6 +26,12 @@
 // writeTimeout is how long a caller may leave its connection full.
 const writeTimeout = 30 * time.Second
 
+// LimitWrite bounds the time that a caller may take to read what is written
+// next.
+func LimitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // NewAnswer returns an answer of which nothing is written yet.
 func NewAnswer(w http.ResponseWriter, c Completion, request string) *Answer {
 	return &Answer{
@@ -104,6 +110,7 @@
 	}
 	b := a.body(object, c)
 	b.Usage = &usage{CompletionTokens: a.tokens}
+	LimitWrite(a.writer)
 	a.writer.Header().Set("Content-Type", "application/json")
 	return json.NewEncoder(a.writer).Encode(b)
 }
--- a/callers/completion.go
+++ b/callers/completion.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
+	"time"
 )
 
 const (
@@ -12,6 +14,8 @@
 	MaxBodyBytes = 4 << 20
 	// maxTokensAsked bounds the max_tokens field.
 	maxTokensAsked = 1_000_000
+	// readTimeout is how long a caller may take to send a body.
+	readTimeout = 10 * time.Second
 )
 
 // Completion is one completion or chat call.
@@ -45,7 +49,11 @@
 // as in "model" or "model:adapter".
 func ReadCompletion(w http.ResponseWriter, r *http.Request, chat bool) (Completion, error) {
 	var b completionBody
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBodyBytes)).Decode(&b); err != nil {
+	body, err := ReadBody(w, r)
+	if err != nil {
+		return Completion{}, err
+	}
+	if err := json.Unmarshal(body, &b); err != nil {
 		return Completion{}, misunderstood("body: %v", err)
 	}
 	if b.MaxTokens < 0 || b.MaxTokens > maxTokensAsked {
@@ -62,6 +70,19 @@
 	return c, nil
 }
 
+// ReadBody reads the body of a call. It is bounded in size, and in the time
+// that a caller may take to send it. The error is a *RefusalError.
+func ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	c := http.NewResponseController(w)
+	_ = c.SetReadDeadline(time.Now().Add(readTimeout))
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	if err != nil {
+		return nil, misunderstood("body: %v", err)
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	return b, nil
+}
+
 func misunderstood(format string, args ...any) *RefusalError {
 	return &RefusalError{Code: NotUnderstood, Message: fmt.Sprintf(format, args...)}
 }
--- a/document/document.go
+++ b/document/document.go
@@ -96,7 +96,7 @@
 	// RatePerSecond and Burst bound the calls that are taken.
 	RatePerSecond float64
 	Burst         int
-	// Concurrency bounds the calls in flight at one entry.
+	// Concurrency bounds the calls in flight at all entries together.
 	Concurrency int
 	// Patience is how long a call may wait for its first token; zero means
 	// that the caller waits without limit.
--- a/entry/server.go
+++ b/entry/server.go
@@ -23,6 +23,7 @@
 	"ebonyreel/document"
 	"ebonyreel/limits"
 	"ebonyreel/placement"
+	controlv1 "ebonyreel/proto/control/v1"
 	"ebonyreel/traces"
 )
 
@@ -138,7 +139,8 @@
 }
 
 func (s *Server) enter(c document.Caller) (func(), error) {
-	leave, err := s.limits.Enter(time.Now(), c)
+	entries := s.view.Members(controls.Pool{Role: controlv1.Role_ROLE_ENTRY})
+	leave, err := s.limits.Enter(time.Now(), limits.Share(c, len(entries)))
 	var often *limits.RateError
 	if errors.As(err, &often) {
 		return nil, &callers.RefusalError{Code: callers.TooMany, Message: err.Error(), RetryAfter: often.RetryAfter}
--- a/entry/service.go
+++ b/entry/service.go
@@ -4,9 +4,8 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
-	"net/http"
 	"net/url"
+	"path"
 	"slices"
 	"time"
 
@@ -78,21 +77,29 @@
 		return nil, &callers.RefusalError{Code: callers.NotAllowed, Message: "service " + name + " is not open to this caller"}
 	}
 	c.service = d
-	if c.call, ok = d.Call(v.request.Method, c.path); !ok {
+	if c.call, ok = d.Call(v.request.Method, c.path); !ok || !plain(c.path) {
 		return nil, &callers.RefusalError{Code: callers.NotAllowed, Message: v.request.Method + " " + c.path + " is not declared"}
 	}
 	if len(c.key) > maxKeyBytes {
 		return nil, &callers.RefusalError{Code: callers.NotUnderstood, Message: "Idempotency-Key is longer than 256 bytes"}
 	}
 	var err error
-	if c.body, err = io.ReadAll(http.MaxBytesReader(v.writer, v.request.Body, callers.MaxBodyBytes)); err != nil {
-		return nil, &callers.RefusalError{Code: callers.NotUnderstood, Message: "body: " + err.Error()}
+	if c.body, err = callers.ReadBody(v.writer, v.request); err != nil {
+		return nil, err
 	}
 	c.digest = document.Digest([]byte(v.request.Method + "\x00" + name + target(c) + "\x00" + string(c.body)))
 	return c, nil
 }
 
+// plain reports whether a path means the same to every reader: a service would
+// resolve one with dots to a call that is not declared.
+func plain(p string) bool {
+	clean := path.Clean(p)
+	return p == clean || p == clean+"/"
+}
+
 func writeAnswer(v *visit, a *agentv1.CallResponse) {
+	callers.LimitWrite(v.writer)
 	if a.GetContentType() != "" {
 		v.writer.Header().Set("Content-Type", a.GetContentType())
 	}
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -26,6 +26,18 @@
 	running int
 }
 
+// Share returns the part of a caller's limits that one of a number of entries
+// may give. Each entry gives at least one call, and rounds up.
+func Share(c document.Caller, entries int) document.Caller {
+	if entries <= 1 {
+		return c
+	}
+	c.RatePerSecond /= float64(entries)
+	c.Burst = (c.Burst + entries - 1) / entries
+	c.Concurrency = (c.Concurrency + entries - 1) / entries
+	return c
+}
+
 // RateError reports a caller that calls too often.
 type RateError struct {
 	Caller string
--- /dev/null
+++ b/proof/limits_test.go
@@ -0,0 +1,109 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// TestBadInput sends calls that are wrong, and looks that nothing ran.
+func TestBadInput(t *testing.T) {
+	t.Parallel()
+	_, e := archive(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	huge := strings.Repeat("x", 5<<20)
+	deep := `{"model":"summariser","prompt":` + strings.Repeat("[", 20_000)
+	for _, c := range []struct {
+		what, method, path, key, body string
+		status                        int
+		code                          string
+	}{
+		{"huge prompt", http.MethodPost, "/v1/completions", "reading-room-key", `{"model":"summariser","prompt":"` + huge + `"}`, 400, "not_understood"},
+		{"deep nesting", http.MethodPost, "/v1/completions", "reading-room-key", deep, 400, "not_understood"},
+		{"wrong type", http.MethodPost, "/v1/completions", "reading-room-key", `{"model":"summariser","prompt":7}`, 400, "not_understood"},
+		{"trailing text", http.MethodPost, "/v1/completions", "reading-room-key", `{"model":"summariser","prompt":"a"} b`, 400, "not_understood"},
+		{"negative bound", http.MethodPost, "/v1/completions", "reading-room-key", `{"model":"summariser","prompt":"a","max_tokens":-1}`, 400, "not_understood"},
+		{"unknown model", http.MethodPost, "/v1/completions", "reading-room-key", `{"model":"other","prompt":"a"}`, 403, "not_allowed"},
+		{"unknown caller", http.MethodPost, desk, "nobody", "{}", 403, "not_allowed"},
+		{"undeclared call", http.MethodDelete, desk, "reading-room-key", "{}", 403, "not_allowed"},
+		{"path upwards", http.MethodPost, "/services/request-desk/holds/%2e%2e/secret", "reading-room-key", "{}", 403, "not_allowed"},
+		{"huge hold", http.MethodPost, desk, "reading-room-key", huge, 400, "not_understood"},
+	} {
+		r := call(ctx, e, c.method, c.path, c.key, "", c.body)
+		if r.status != c.status || !strings.Contains(r.body, `"code":"`+c.code+`"`) {
+			t.Errorf("%s: found %d %.200s %v, expected %d %s", c.what, r.status, r.body, r.err, c.status, c.code)
+		}
+	}
+	histories, _ := filepath.Glob(filepath.Join(filepath.Dir(e.settings), "*.history"))
+	for _, h := range histories {
+		if b, _ := os.ReadFile(h); len(b) > 0 {
+			t.Errorf("%s has run something: %.200s", filepath.Base(h), b)
+		}
+	}
+}
+
+// TestSlowCaller opens a connection that never sends its body.
+func TestSlowCaller(t *testing.T) {
+	t.Parallel()
+	_, e := archive(t)
+	c, err := net.Dial("tcp", e.address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer reading-room-key\r\nContent-Length: 100\r\n\r\n{", desk)
+	const slowTarget = 15 * time.Second
+	_ = c.SetReadDeadline(time.Now().Add(slowTarget))
+	b := make([]byte, 64)
+	n, err := c.Read(b)
+	if err != nil || !strings.HasPrefix(string(b[:n]), "HTTP/1.1 400") {
+		t.Errorf("not refused within %s: %q %v", slowTarget, b[:n], err)
+	}
+}
+
+// TestSharedLimits holds one caller to its calls in flight over two entries.
+func TestSharedLimits(t *testing.T) {
+	t.Parallel()
+	const allowed, asked = 20, 60
+	b, err := os.ReadFile("../examples/archive.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newCluster(t, "archive-trial")
+	c.control("control-0")
+	file := filepath.Join(c.dir, "limited.json")
+	limited := strings.Replace(string(b), `"Concurrency": 2000`, fmt.Sprintf(`"Concurrency": %d`, allowed), 1)
+	if err := os.WriteFile(file, []byte(limited), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c.submit(file)
+	entries := []*proc{c.entry("entry-0"), c.entry("entry-1")}
+	c.service("service-0", "request-desk", time.Second)
+	c.await(3, entries...)
+	var taken, refused atomic.Int64
+	var group sync.WaitGroup
+	for i := range asked {
+		group.Go(func() {
+			r := call(context.Background(), entries[i%2], http.MethodPost, desk, "reading-room-key", "", fmt.Sprintf(`{"N":%d}`, i))
+			switch {
+			case r.status == http.StatusOK:
+				taken.Add(1)
+			case r.status == http.StatusTooManyRequests && r.header.Get("Retry-After") != "":
+				refused.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	if taken.Load() != allowed || refused.Load() != asked-allowed {
+		t.Errorf("%d taken and %d refused at two entries, expected %d and %d", taken.Load(), refused.Load(), allowed, asked-allowed)
+	}
+}
