Let planned stops end every answer, and waiting requests go elsewhere

Cause: a server closed its connections 2 s after its drain, whoever was still reading; a call between its admission and its count could be missed by the drain; requests that waited for memory at a leaving agent began there late.

Change: closing waits up to a minute, longer than a caller may leave an answer unread; a call counts from its arrival; an entry that is unready asks callers for new connections; leaving ends the wait for memory, so that the entry goes to another agent.

A stop of an agent that has the outcome of a call whose entry died loses that outcome; the call then stays unknown.

--- a/agent/memory.go
+++ b/agent/memory.go
@@ -185,7 +185,7 @@
 }
 
 func (m *memory) leave() {
-	m.do(func(time.Time) { m.table.Leave() })
+	m.do(func(now time.Time) { m.carry(m.table.Leave(now)) })
 }
 
 func (m *memory) load() reservation.Load {
--- a/entry/server.go
+++ b/entry/server.go
@@ -104,6 +104,11 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, next func(ctx context.Context, v *visit)) {
 	id := rand.Text()
 	w.Header().Set("X-Request-Id", id)
+	s.working.Add(1)
+	defer s.working.Add(-1)
+	if s.unready.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	v := &visit{writer: w, request: r, id: id, decision: s.decisions.Begin(id, time.Now())}
 	leave, err := s.admit(v)
 	if err != nil {
@@ -111,8 +116,6 @@
 		return
 	}
 	defer leave()
-	s.working.Add(1)
-	defer s.working.Add(-1)
 	v.log = s.log.WithFields(logrus.Fields{"Request": id, "Caller": v.caller.Name})
 	ctx, span := s.tracer.Start(r.Context(), "Entry")
 	defer span.End()
--- a/process/process.go
+++ b/process/process.go
@@ -15,8 +15,9 @@
 	"github.com/sirupsen/logrus"
 )
 
-// shutdownTimeout bounds the closing of idle connections after a drain.
-const shutdownTimeout = 2 * time.Second
+// shutdownTimeout bounds the closing of connections after a drain. It is
+// longer than any peer may take to read the end of an answer.
+const shutdownTimeout = time.Minute
 
 // Stopping returns a context that ends with the first SIGTERM or SIGINT, and
 // the function that ends it from within.
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -43,7 +43,7 @@
 		panic(err)
 	}
 	binaries = dir
-	for _, p := range []string{"cmd/entry", "cmd/agent", "cmd/control", "standin/engine", "standin/service"} {
+	for _, p := range []string{"cmd/entry", "cmd/agent", "cmd/control", "cmd/ebonyreel", "standin/engine", "standin/service"} {
 		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, filepath.Base(p)), "../"+p).CombinedOutput()
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", p, err, out)
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -144,9 +144,16 @@
 	}
 }
 
-// Leave makes the table refuse new requests; those that wait stay.
-func (t *Table) Leave() {
+// Leave makes the table refuse new requests and ends those that wait, so that
+// they go elsewhere; those that hold memory stay.
+func (t *Table) Leave(now time.Time) Effects {
 	t.leaving = true
+	var e Effects
+	t.queue.each(func(r *request) { e.Expired = append(e.Expired, r.ask.Attempt) })
+	for _, a := range e.Expired {
+		t.drop(now, t.find(a.Request))
+	}
+	return e
 }
 
 // Pieces returns the memory that a number of tokens needs.
--- a/reservation/reservation_test.go
+++ b/reservation/reservation_test.go
@@ -58,8 +58,7 @@
 	case "tick":
 		return s.effects(s.table.Tick(s.now))
 	case "leave":
-		s.table.Leave()
-		return ""
+		return s.effects(s.table.Leave(s.now))
 	case "load":
 		l := s.table.Load()
 		return fmt.Sprintf("free %d running %d queued %d wait %s\n", l.PiecesFree, l.Running, l.Queued, l.Wait.Round(time.Millisecond))
