Move changes of a document as the parts that differ

Cause: each accepted document was published whole.

Ruled out: textual diffs of the bytes (each process would have to hold and patch the whole text and parse it again); one item for each caller (a manifest of 26,000 digests with every change).

Change: a document is published as a head and 1,024 buckets of callers by the start of their key hash, and then a manifest of the parts' digests. A process adopts a manifest only when it holds each part with its digest, and lists again when it does not. Agents leave the callers out.

The replicated log still carries whole documents, as do the first list of an entry and the history in control's memory.

--- a/cmd/agent/command.go
+++ b/cmd/agent/command.go
@@ -65,6 +65,7 @@
 
 	client := controls.NewClient(transport.NewClient(), s.Controls)
 	view := controls.NewView(client, s.Environment, log)
+	view.LeaveOutCallers()
 	announcer := controls.NewAnnouncer(client, view, member(s), log)
 	a := agent.New(base, announcer, view, tracer, log)
 	go view.Run(base)
--- a/cmd/ebonyreel/status.go
+++ b/cmd/ebonyreel/status.go
@@ -171,7 +171,7 @@
 	}
 	ctx, cancel := o.context()
 	defer cancel()
-	res, err := client.List(ctx, o.environment+"/Member/")
+	res, err := client.List(ctx, &controlv1.ListRequest{Prefix: o.environment + "/Member/"})
 	if err != nil {
 		return nil, err
 	}
--- a/control/member.go
+++ b/control/member.go
@@ -57,7 +57,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leases = lease.Table{}
-	items, _ := s.state.List("")
+	items, _ := s.state.List(state.Range{})
 	for _, it := range items {
 		if it.GetMember() != nil {
 			s.leases.Renew(it.GetKey(), now, MemberLease)
--- a/control/server.go
+++ b/control/server.go
@@ -12,6 +12,7 @@
 
 	"ebonyreel/document"
 	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/state"
 )
 
 const (
@@ -96,7 +97,7 @@
 	if err := s.store.Confirm(ctx); err != nil {
 		return nil, refuse(err)
 	}
-	items, rev := s.store.List(r.Msg.GetPrefix())
+	items, rev := s.store.List(state.Range{Prefix: r.Msg.GetPrefix(), Without: r.Msg.GetWithout()})
 	return connect.NewResponse(&controlv1.ListResponse{Revision: rev, Items: items}), nil
 }
 
@@ -104,6 +105,7 @@
 // mark at least once each progressInterval.
 func (s *Server) Watch(ctx context.Context, r *connect.Request[controlv1.WatchRequest], out *connect.ServerStream[controlv1.WatchResponse]) error {
 	next := r.Msg.GetFromRevision()
+	keys := state.Range{Prefix: r.Msg.GetPrefix(), Without: r.Msg.GetWithout()}
 	tick := time.NewTicker(progressInterval)
 	defer tick.Stop()
 	for {
@@ -111,7 +113,7 @@
 			return refuse(&CutOffError{})
 		}
 		changed := s.store.Changed()
-		events, rev, err := s.store.Since(r.Msg.GetPrefix(), next)
+		events, rev, err := s.store.Since(keys, next)
 		if err != nil {
 			return refuse(err)
 		}
--- a/control/store.go
+++ b/control/store.go
@@ -258,18 +258,18 @@
 	return s.state.Restore(from)
 }
 
-// List returns the items under a prefix at one revision.
-func (s *Store) List(prefix string) ([]*controlv1.Item, uint64) {
+// List returns the items of a range at one revision.
+func (s *Store) List(r state.Range) ([]*controlv1.Item, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.List(prefix)
+	return s.state.List(r)
 }
 
-// Since returns the events under a prefix from a revision on.
-func (s *Store) Since(prefix string, from uint64) ([]*controlv1.Event, uint64, error) {
+// Since returns the events of a range from a revision on.
+func (s *Store) Since(r state.Range, from uint64) ([]*controlv1.Event, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.Since(prefix, from)
+	return s.state.Since(r, from)
 }
 
 // Documents returns the accepted documents of an environment.
--- a/controls/client.go
+++ b/controls/client.go
@@ -195,11 +195,11 @@
 	return out, err
 }
 
-// List returns the items under a prefix at one revision.
-func (c *Client) List(ctx context.Context, prefix string) (*controlv1.ListResponse, error) {
+// List returns the items of a range at one revision.
+func (c *Client) List(ctx context.Context, r *controlv1.ListRequest) (*controlv1.ListResponse, error) {
 	var out *controlv1.ListResponse
 	err := c.each(ctx, func(ctx context.Context, p controlv1connect.ControlServiceClient) error {
-		res, err := p.List(ctx, connect.NewRequest(&controlv1.ListRequest{Prefix: prefix}))
+		res, err := p.List(ctx, connect.NewRequest(r))
 		if err != nil {
 			return err
 		}
--- a/controls/view.go
+++ b/controls/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -36,8 +37,10 @@
 type View struct {
 	// environment is the prefix of the keys that are followed.
 	environment string
-	client      *Client
-	log         *logrus.Entry
+	// without is the prefix of the keys that are left out; it may be empty.
+	without string
+	client  *Client
+	log     *logrus.Entry
 	// at is the control host that is watched; only Run uses it. It begins at
 	// random, which spreads the watches.
 	at int
@@ -45,9 +48,13 @@
 	mu sync.RWMutex
 	// revision is that of the last change applied; it never goes back.
 	revision uint64
+	// parts is what the document is assembled from.
+	parts document.Assembly
 	// document is nil until the first one is known; its number only grows.
 	document *document.Document
 	digest   string
+	// manifest is the newest document published, without its bytes.
+	manifest *controlv1.Document
 	members  map[string]*controlv1.Member
 	// pools indexes the members that take new work.
 	pools   map[Pool][]*controlv1.Member
@@ -70,6 +77,12 @@
 	}
 }
 
+// LeaveOutCallers makes the view follow everything but the callers of the
+// document. It is called before Run.
+func (v *View) LeaveOutCallers() {
+	v.without = v.environment + "/Part/Callers-"
+}
+
 // Run follows control until the context ends: a list at revision R, then a
 // watch from R+1, and a new list when the events in between are gone.
 func (v *View) Run(ctx context.Context) {
@@ -83,11 +96,13 @@
 	}
 }
 
-// follow watches until the history is compacted or the context ends.
+// follow watches until only a new list helps or the context ends.
 func (v *View) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := v.watch(ctx)
-		if Reason(err).GetCode() == controlv1.Refusal_CODE_COMPACTED {
+		var part *document.PartError
+		if errors.As(err, &part) || Reason(err).GetCode() == controlv1.Refusal_CODE_COMPACTED {
+			v.log.WithError(err).Warn("list again")
 			pause(ctx, rand.N(relistSpread))
 			return
 		}
@@ -97,7 +112,7 @@
 }
 
 func (v *View) list(ctx context.Context) error {
-	res, err := v.client.List(ctx, v.environment+"/")
+	res, err := v.client.List(ctx, &controlv1.ListRequest{Prefix: v.environment + "/", Without: v.without})
 	if err != nil {
 		return err
 	}
@@ -108,9 +123,13 @@
 	}
 	clear(v.members)
 	clear(v.strikes)
+	v.parts = document.Assembly{}
 	for _, it := range res.GetItems() {
 		v.put(it)
 	}
+	if err := v.adopt(); err != nil {
+		return err
+	}
 	v.settle(res.GetRevision())
 	return nil
 }
@@ -129,23 +148,25 @@
 	defer func() { _ = s.Close() }()
 	for s.Receive() {
 		quiet.Reset(silence)
-		v.apply(s.Msg())
+		if err := v.apply(s.Msg()); err != nil {
+			return err
+		}
 	}
 	return s.Err()
 }
 
 func (v *View) open(ctx context.Context, p controlv1connect.ControlServiceClient) (*connect.ServerStreamForClient[controlv1.WatchResponse], error) {
-	r := &controlv1.WatchRequest{Prefix: v.environment + "/", FromRevision: v.Revision() + 1}
+	r := &controlv1.WatchRequest{Prefix: v.environment + "/", FromRevision: v.Revision() + 1, Without: v.without}
 	return p.Watch(ctx, connect.NewRequest(r))
 }
 
 // apply takes in the events of one message. Events at or below the revision
 // seen are dropped.
-func (v *View) apply(m *controlv1.WatchResponse) {
+func (v *View) apply(m *controlv1.WatchResponse) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if m.GetRevision() <= v.revision {
-		return
+		return nil
 	}
 	for _, e := range m.GetEvents() {
 		if e.GetRevision() <= v.revision {
@@ -157,17 +178,23 @@
 		}
 		v.put(e.GetItem())
 	}
+	if err := v.adopt(); err != nil {
+		return err
+	}
 	if len(m.GetEvents()) == 0 {
 		v.revision = m.GetRevision()
-		return
+		return nil
 	}
 	v.settle(m.GetRevision())
+	return nil
 }
 
 func (v *View) put(it *controlv1.Item) {
 	switch k := it.GetValue().(type) {
 	case *controlv1.Item_Document:
-		v.adopt(k.Document)
+		v.manifest = k.Document
+	case *controlv1.Item_Part:
+		v.putPart(k.Part)
 	case *controlv1.Item_Member:
 		v.members[it.GetKey()] = k.Member
 	case *controlv1.Item_Strikes:
@@ -175,22 +202,46 @@
 	}
 }
 
-// adopt takes a document unless one with a higher number is in force.
-func (v *View) adopt(d *controlv1.Document) {
-	if v.document != nil && d.GetNumber() <= v.document.Number {
-		return
+func (v *View) putPart(p *controlv1.DocumentPart) {
+	err := v.parts.Put(document.Part{Name: p.GetName(), Digest: p.GetDigest(), Content: p.GetContent()})
+	if err != nil {
+		v.log.WithError(err).Error("document part not understood")
+	}
+}
+
+// adopt puts the newest document in force, unless one with a higher number
+// already is. The error is a *document.PartError, after which only a new list
+// helps.
+func (v *View) adopt() error {
+	d := v.manifest
+	if d == nil || v.document != nil && d.GetNumber() <= v.document.Number {
+		return nil
 	}
-	parsed, err := document.Load(d.GetResolved())
+	whole, err := v.parts.Document(v.wanted(d))
 	if err != nil {
-		v.log.WithError(err).WithField("Number", d.GetNumber()).Error("document not understood")
-		return
+		return err
 	}
-	v.document, v.digest = parsed, d.GetDigest()
+	v.document, v.digest = whole, d.GetDigest()
 	v.log.WithFields(logrus.Fields{"Number": d.GetNumber(), "Digest": d.GetDigest()}).Info("document in force")
+	return nil
+}
+
+// wanted lists the parts of a document that the view follows.
+func (v *View) wanted(d *controlv1.Document) []document.Part {
+	var out []document.Part
+	for _, p := range d.GetParts() {
+		if v.without == "" || p.GetName() == document.HeadPart {
+			out = append(out, document.Part{Name: p.GetName(), Digest: p.GetDigest()})
+		}
+	}
+	return out
 }
 
 func (v *View) remove(key string) {
 	delete(v.members, key)
+	if name, ok := strings.CutPrefix(key, v.environment+"/Part/"); ok {
+		v.parts.Drop(name)
+	}
 	if digest, ok := strings.CutPrefix(key, v.environment+"/Strikes/"); ok {
 		delete(v.strikes, digest)
 	}
--- a/document/document.go
+++ b/document/document.go
@@ -7,6 +7,7 @@
 package document
 
 import (
+	"crypto/subtle"
 	"net/http"
 	"time"
 )
@@ -32,8 +33,8 @@
 	// Retention bounds what the control state keeps.
 	Retention Retention
 
-	// byKey maps a key's hash to an index of Callers.
-	byKey map[string]int
+	// buckets spreads the callers by the hashes of their keys.
+	buckets *[buckets][]Caller
 }
 
 // Model declares one model and how it is served.
@@ -135,22 +136,19 @@
 	return Service{}, false
 }
 
-// CallerByKey returns the caller that owns a key. Only the key's hash is
-// looked up, so that the time it takes says nothing about the key.
+// CallerByKey returns the caller that owns a key. Hashes are compared in
+// constant time.
 func (d *Document) CallerByKey(key string) (Caller, bool) {
-	i, ok := d.byKey[Digest([]byte(key))]
-	if !ok {
+	if d.buckets == nil {
 		return Caller{}, false
 	}
-	return d.Callers[i], true
-}
-
-// index builds the lookup of callers by key.
-func (d *Document) index() {
-	d.byKey = make(map[string]int, len(d.Callers))
-	for i, c := range d.Callers {
-		d.byKey[c.KeyHash] = i
+	hash := Digest([]byte(key))
+	for _, c := range d.buckets[bucketOf(hash)] {
+		if subtle.ConstantTimeCompare([]byte(c.KeyHash), []byte(hash)) == 1 {
+			return c, true
+		}
 	}
+	return Caller{}, false
 }
 
 // Call returns the declaration that covers a method and a path. The longest
--- a/document/parse.go
+++ b/document/parse.go
@@ -39,7 +39,7 @@
 		return nil, &CheckError{Faults: all}
 	}
 	d.sort()
-	d.index()
+	d.buckets = d.spread()
 	return d, nil
 }
 
@@ -57,7 +57,7 @@
 	if d.Number == 0 || d.Retention.Documents == 0 {
 		return nil, single("JSON", "a document without its defaults", "a resolved document")
 	}
-	d.index()
+	d.buckets = d.spread()
 	return d, nil
 }
 
--- a/proof/control_bench_test.go
+++ b/proof/control_bench_test.go
@@ -339,7 +339,7 @@
 			t := time.NewTicker(pollInterval)
 			defer t.Stop()
 			for b.Context().Err() == nil {
-				_, _ = p.List(b.Context(), "archive-trial/")
+				_, _ = p.List(b.Context(), &controlv1.ListRequest{Prefix: "archive-trial/"})
 				select {
 				case <-b.Context().Done():
 				case <-t.C:
--- a/proof/control_cutoff_test.go
+++ b/proof/control_cutoff_test.go
@@ -105,7 +105,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	if res, err := c.List(ctx, "archive-trial/"); err == nil {
+	if res, err := c.List(ctx, &controlv1.ListRequest{Prefix: "archive-trial/"}); err == nil {
 		t.Errorf("a host that is cut off answers a list: %v", res)
 	}
 	m := &controlv1.Member{Environment: "archive-trial", Name: "late", DocumentLevel: 1}
--- a/proof/control_history_test.go
+++ b/proof/control_history_test.go
@@ -201,7 +201,7 @@
 }
 
 func readDocument(client *controls.Client) operatorResult {
-	res, err := client.List(context.Background(), "archive-trial/Document")
+	res, err := client.List(context.Background(), &controlv1.ListRequest{Prefix: "archive-trial/Document"})
 	if err != nil {
 		return operatorResult{unknown: true}
 	}
--- a/proof/control_input_test.go
+++ b/proof/control_input_test.go
@@ -68,7 +68,7 @@
 // state returns what is published, in short.
 func state(t *testing.T, client *controls.Client) string {
 	t.Helper()
-	res, err := client.List(context.Background(), "")
+	res, err := client.List(context.Background(), &controlv1.ListRequest{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/proof/control_resume_test.go
+++ b/proof/control_resume_test.go
@@ -57,7 +57,7 @@
 // sameStrikes compares a view with a list of the state.
 func sameStrikes(t *testing.T, c *cluster, v *controls.View, number uint64) bool {
 	t.Helper()
-	res, err := c.client().List(context.Background(), "archive-trial/")
+	res, err := c.client().List(context.Background(), &controlv1.ListRequest{Prefix: "archive-trial/"})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -324,7 +324,7 @@
 func (c *cluster) await(members int, entries ...*proc) {
 	c.t.Helper()
 	eventually(c.t, 15*time.Second, "members joined", func() bool {
-		res, err := c.client().List(context.Background(), c.environment+"/Member/")
+		res, err := c.client().List(context.Background(), &controlv1.ListRequest{Prefix: c.environment + "/Member/"})
 		return err == nil && len(res.GetItems()) >= members
 	})
 	for _, e := range entries {
--- a/state/document.go
+++ b/state/document.go
@@ -16,6 +16,12 @@
 	return environment + "/Document"
 }
 
+// PartKey is the key under which a part of an environment's document is
+// published.
+func PartKey(environment, name string) string {
+	return environment + "/Part/" + name
+}
+
 // Current returns the document in force in an environment, or nil.
 func (s *State) Current(environment string) *controlv1.Document {
 	all := s.documents[environment]
@@ -62,11 +68,16 @@
 	}
 	kept := proto.CloneOf(d)
 	kept.AcceptedAt = timestamppb.New(now)
+	parts, err := parsed.Parts()
+	if err != nil {
+		return nil, err
+	}
 	s.keep(kept, parsed.Retention)
+	s.publishDocument(kept, parts)
 	return &controlv1.SubmitResponse{Document: kept}, nil
 }
 
-// keep appends a document to the history and publishes it.
+// keep appends a document to the history.
 func (s *State) keep(d *controlv1.Document, r document.Retention) {
 	all := append(s.documents[d.GetEnvironment()], d)
 	if over := len(all) - r.Documents; over > 0 {
@@ -74,13 +85,41 @@
 	}
 	s.documents[d.GetEnvironment()] = all
 	s.retentions[d.GetEnvironment()] = r
-	s.publish(DocumentKey(d.GetEnvironment()), &controlv1.Item{Value: &controlv1.Item_Document{Document: d}})
+}
+
+// publishDocument publishes the parts that differ from those of the document
+// before, and then the document itself, without its bytes.
+func (s *State) publishDocument(d *controlv1.Document, parts []document.Part) {
+	env := d.GetEnvironment()
+	manifest := proto.CloneOf(d)
+	manifest.Resolved = nil
+	listed := map[string]bool{}
+	for _, p := range parts {
+		listed[p.Name] = true
+		manifest.Parts = append(manifest.Parts, &controlv1.PartDigest{Name: p.Name, Digest: p.Digest})
+		s.publishPart(env, p)
+	}
+	for _, p := range s.items[DocumentKey(env)].GetDocument().GetParts() {
+		if !listed[p.GetName()] {
+			s.withdraw(PartKey(env, p.GetName()))
+		}
+	}
+	s.publish(DocumentKey(env), &controlv1.Item{Value: &controlv1.Item_Document{Document: manifest}})
+}
+
+func (s *State) publishPart(environment string, p document.Part) {
+	key := PartKey(environment, p.Name)
+	if s.items[key].GetPart().GetDigest() == p.Digest {
+		return
+	}
+	part := &controlv1.DocumentPart{Name: p.Name, Digest: p.Digest, Content: p.Content}
+	s.publish(key, &controlv1.Item{Value: &controlv1.Item_Part{Part: part}})
 }
 
 // understood returns a *LevelError when a running process does not understand
 // documents of a level.
 func (s *State) understood(environment string, level uint32) error {
-	items, _ := s.List(MemberPrefix(environment))
+	items, _ := s.List(Range{Prefix: MemberPrefix(environment)})
 	for _, it := range items {
 		m := it.GetMember()
 		if m.GetDocumentLevel() < level {
--- a/state/history.go
+++ b/state/history.go
@@ -26,27 +26,39 @@
 	}
 }
 
-// since returns the events from a revision on whose keys have a prefix.
-func (h *history) since(prefix string, from uint64) ([]*controlv1.Event, error) {
+// Range is the keys that start with Prefix but not with Without. An empty
+// Without leaves out nothing.
+type Range struct {
+	Prefix  string
+	Without string
+}
+
+func (r Range) has(key string) bool {
+	out := r.Without != "" && strings.HasPrefix(key, r.Without)
+	return !out && strings.HasPrefix(key, r.Prefix)
+}
+
+// since returns the events of a range from a revision on.
+func (h *history) since(r Range, from uint64) ([]*controlv1.Event, error) {
 	if from <= h.compacted {
 		return nil, &CompactedError{Compacted: h.compacted}
 	}
 	start := sort.Search(len(h.events), func(i int) bool { return h.events[i].GetRevision() >= from })
 	var out []*controlv1.Event
 	for _, e := range h.events[start:] {
-		if strings.HasPrefix(e.GetKey(), prefix) {
+		if r.has(e.GetKey()) {
 			out = append(out, e)
 		}
 	}
 	return out, nil
 }
 
-// List returns the items whose keys have a prefix, sorted by key, and the
-// revision that they are consistent with.
-func (s *State) List(prefix string) ([]*controlv1.Item, uint64) {
+// List returns the items of a range, sorted by key, and the revision that they
+// are consistent with.
+func (s *State) List(r Range) ([]*controlv1.Item, uint64) {
 	var out []*controlv1.Item
 	for k, it := range s.items {
-		if strings.HasPrefix(k, prefix) {
+		if r.has(k) {
 			out = append(out, it)
 		}
 	}
@@ -54,12 +66,12 @@
 	return out, s.revision
 }
 
-// Since returns the events from a revision on whose keys have a prefix, and
-// the revision up to which they are complete. The error is a *CompactedError
+// Since returns the events of a range from a revision on, and the revision up
+// to which they are complete. The error is a *CompactedError
 // when some of them are gone. A list at R joined to the events from R+1 is the
 // list-then-watch protocol of the Kubernetes API ("Efficient detection of
 // changes").
-func (s *State) Since(prefix string, from uint64) ([]*controlv1.Event, uint64, error) {
-	out, err := s.history.since(prefix, from)
+func (s *State) Since(r Range, from uint64) ([]*controlv1.Event, uint64, error) {
+	out, err := s.history.since(r, from)
 	return out, s.revision, err
 }
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -20,7 +20,7 @@
 	for _, e := range environments {
 		out.Documents = append(out.Documents, s.documents[e]...)
 	}
-	out.Items, _ = s.List("")
+	out.Items, _ = s.List(Range{})
 	for _, e := range sorted(s.order) {
 		for _, k := range s.order[e] {
 			out.Operations = append(out.Operations, s.operations[k])
--- a/state/strike.go
+++ b/state/strike.go
@@ -40,7 +40,7 @@
 // ones beyond the bound.
 func (s *State) forgive(now time.Time, environment string) {
 	keep := s.retention(environment)
-	items, _ := s.List(strikePrefix(environment))
+	items, _ := s.List(Range{Prefix: strikePrefix(environment)})
 	var oldest *controlv1.Strikes
 	for _, it := range items {
 		k := it.GetStrikes()
