Tell operators and processes apart by keys, and speak TLS

Cause: whoever reached an address could submit a document, announce a process or give an agent orders, and all of it went over the wire in the clear.

Ruled out: client certificates as identities, as operators would need a certificate each and the name in it would have to be mapped anyway; restarting processes for renewed files, as that is a planned stop of each one.

Operators submit, approve, promote and stop; processes do what only processes do; both read. An operator is recorded by the key's name, whatever name is claimed. Security in the settings names certificates, authority and key file; entries may have a certificate of their own towards callers. All files are read again when they change. Without them nothing changes. Failed connections are counted as ConnectionErrors in place of lines in plain text.

Endpoints announce themselves to the agent beside them without a key. The addresses for metrics and readiness ask for none.

--- /dev/null
+++ b/access/access_test.go
@@ -0,0 +1,121 @@
+package access
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/datadriven"
+
+	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/proto/control/v1/controlv1connect"
+)
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// TestCheck asks, for each line of input, whether a key opens a procedure.
+func TestCheck(t *testing.T) {
+	tables := map[string]*Table{
+		"open": NewTable(nil, nil),
+		"keys": NewTable([]Holder{{Name: "entry-0", KeyHash: hashOf("process-key")}}, []Holder{{Name: "ama", KeyHash: strings.ToUpper(hashOf("operator-key"))}}),
+	}
+	datadriven.RunTest(t, "testdata/check", func(t *testing.T, d *datadriven.TestData) string {
+		var out strings.Builder
+		table := tables[d.Cmd]
+		for line := range strings.Lines(d.Input) {
+			procedure, header, _ := strings.Cut(strings.TrimSpace(line), " ")
+			name, err := table.check(procedure, header)
+			fmt.Fprintf(&out, "%q %v\n", name, err)
+		}
+		fmt.Fprintf(&out, "refused %d\n", table.Refused.Value())
+		return out.String()
+	})
+}
+
+type fakeControl struct {
+	controlv1connect.UnimplementedControlServiceHandler
+}
+
+// Submit answers with the name that control would record.
+func (fakeControl) Submit(ctx context.Context, r *connect.Request[controlv1.SubmitRequest]) (*connect.Response[controlv1.SubmitResponse], error) {
+	return connect.NewResponse(&controlv1.SubmitResponse{Document: &controlv1.Document{Submitter: Name(ctx, r.Msg.GetSubmitter())}}), nil
+}
+
+func (fakeControl) Watch(_ context.Context, _ *connect.Request[controlv1.WatchRequest], out *connect.ServerStream[controlv1.WatchResponse]) error {
+	return out.Send(&controlv1.WatchResponse{Revision: 1})
+}
+
+// TestInterceptors calls and streams with the right key, with that of another
+// kind and with none; a key that is renewed in its file is shown next.
+func TestInterceptors(t *testing.T) {
+	table := NewTable([]Holder{{Name: "entry-0", KeyHash: hashOf("process-key")}}, []Holder{{Name: "ama", KeyHash: hashOf("operator-key")}})
+	_, h := controlv1connect.NewControlServiceHandler(fakeControl{}, connect.WithInterceptors(table.Interceptor()))
+	s := httptest.NewServer(h)
+	defer s.Close()
+	path := filepath.Join(t.TempDir(), "key")
+	for i, c := range []struct {
+		key           string
+		submit, watch connect.Code
+	}{
+		{"operator-key", 0, connect.CodePermissionDenied},
+		{"process-key\n", connect.CodePermissionDenied, 0},
+		{"wrong-key", connect.CodePermissionDenied, connect.CodePermissionDenied},
+		{"", connect.CodeUnauthenticated, connect.CodeUnauthenticated},
+	} {
+		if err := os.WriteFile(path, []byte(c.key), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f, err := OpenFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if i > 0 {
+			// The same file was changed: an old one shows the new key.
+			at := time.Now().Add(time.Duration(i) * time.Minute)
+			if err := os.Chtimes(path, at, at); err != nil {
+				t.Fatal(err)
+			}
+			f.looked, f.key = time.Time{}, "an old key"
+		}
+		client := controlv1connect.NewControlServiceClient(s.Client(), s.URL, connect.WithInterceptors(Show(f)))
+		res, err := client.Submit(context.Background(), connect.NewRequest(&controlv1.SubmitRequest{Submitter: "kofi"}))
+		if codeOf(err) != c.submit {
+			t.Errorf("submit with %q: %v", c.key, err)
+		}
+		if err == nil && res.Msg.GetDocument().GetSubmitter() != "ama" {
+			t.Errorf("submitted by %s, not by the holder of the key", res.Msg.GetDocument().GetSubmitter())
+		}
+		w, err := client.Watch(context.Background(), connect.NewRequest(&controlv1.WatchRequest{}))
+		if err == nil {
+			w.Receive()
+			err = w.Err()
+		}
+		if codeOf(err) != c.watch {
+			t.Errorf("watch with %q: %v", c.key, err)
+		}
+	}
+	if n := table.Refused.Value(); n != 6 {
+		t.Errorf("%d calls counted as refused, 6 wanted", n)
+	}
+	if _, err := OpenFile(path + ".none"); err == nil {
+		t.Error("a key file that is not there was opened")
+	}
+}
+
+func codeOf(err error) connect.Code {
+	if err == nil {
+		return 0
+	}
+	return connect.CodeOf(err)
+}
--- a/agents/pool.go
+++ b/agents/pool.go
@@ -86,9 +86,9 @@
 }
 
 // NewPool returns a pool without peers.
-func NewPool(entry string, log *logrus.Entry, opts ...connect.ClientOption) *Pool {
+func NewPool(entry string, h *http.Client, log *logrus.Entry, opts ...connect.ClientOption) *Pool {
 	return &Pool{
-		http:     transport.NewClient(),
+		http:     h,
 		entry:    entry,
 		opts:     opts,
 		log:      log,
--- a/cmd/agent/command.go
+++ b/cmd/agent/command.go
@@ -58,12 +58,16 @@
 	if err != nil {
 		return err
 	}
+	security, err := process.OpenSecurity(s.Security)
+	if err != nil {
+		return err
+	}
 	stopping, stop := process.Stopping()
 	defer stop()
 	base, end := context.WithCancel(context.Background())
 	defer end()
 
-	client := controls.NewClient(transport.NewClient(), s.Controls)
+	client := controls.NewClient(security.Client, s.Controls, connect.WithInterceptors(security.Show))
 	view := controls.NewView(client, s.Environment, log)
 	view.LeaveOutCallers()
 	announcer := controls.NewAnnouncer(client, view, member(s), log)
@@ -72,11 +76,11 @@
 	go join(base, a, announcer)
 	go followOrders(base, view, announcer, stop)
 
-	peers := transport.NewServer(peerRoutes(a, connect.WithInterceptors(tracing)))
+	peers := transport.NewServer(peerRoutes(a, connect.WithInterceptors(tracing, security.Check)))
 	endpoint := transport.NewServer(endpointRoutes(a))
-	operators := transport.NewServer(operatorRoutes(a))
+	operators := transport.NewServer(operatorRoutes(a, security))
 	failed := make(chan error, 3)
-	go func() { failed <- transport.Serve(base, peers, s.Peers) }()
+	go func() { failed <- transport.ServeSecure(base, peers, s.Peers, security.Certificates) }()
 	go func() { failed <- transport.Serve(base, endpoint, s.Endpoint) }()
 	go func() { failed <- transport.Serve(base, operators, s.Operators) }()
 	log.WithField("Peers", s.Peers.String()).Info("started")
@@ -161,8 +165,9 @@
 	return m
 }
 
-func operatorRoutes(a *agent.Agent) http.Handler {
+func operatorRoutes(a *agent.Agent, s *process.Security) http.Handler {
 	m := http.NewServeMux()
 	process.Metrics(m, "Agent", a.Metrics())
+	process.Publish("AccessRefused", s.Table.Refused)
 	return m
 }
--- a/cmd/control/command.go
+++ b/cmd/control/command.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"connectrpc.com/connect"
 	"github.com/spf13/cobra"
 
 	"ebonyreel/control"
@@ -40,20 +41,24 @@
 // run starts the duties of a control process and waits for its planned stop.
 func run(s settings.Control) error {
 	log := logs.New("control", s.Name)
+	security, err := process.OpenSecurity(s.Security)
+	if err != nil {
+		return err
+	}
 	stopping, stop := process.Stopping()
 	defer stop()
 	base, end := context.WithCancel(context.Background())
 	defer end()
 
-	store, err := control.Open(s, transport.NewClient(), log)
+	store, err := control.Open(s, security.Client, log, connect.WithInterceptors(security.Show))
 	if err != nil {
 		return err
 	}
-	peers := transport.NewServer(peerRoutes(store))
-	operators := transport.NewServer(operatorRoutes(store))
+	peers := transport.NewServer(peerRoutes(store, security))
+	operators := transport.NewServer(operatorRoutes(store, security))
 	failed := make(chan error, 3)
 	go func() { failed <- store.Run(base) }()
-	go func() { failed <- transport.Serve(base, peers, s.Peers) }()
+	go func() { failed <- transport.ServeSecure(base, peers, s.Peers, security.Certificates) }()
 	go func() { failed <- transport.Serve(base, operators, s.Operators) }()
 	log.WithField("Peers", s.Peers.String()).Info("started")
 	select {
@@ -67,15 +72,17 @@
 	return nil
 }
 
-func peerRoutes(store *control.Store) http.Handler {
+func peerRoutes(store *control.Store, s *process.Security) http.Handler {
 	m := http.NewServeMux()
-	m.Handle(controlv1connect.NewControlServiceHandler(control.NewServer(store)))
-	m.Handle(replicav1connect.NewReplicaServiceHandler(control.NewReplica(store)))
+	check := connect.WithInterceptors(s.Check)
+	m.Handle(controlv1connect.NewControlServiceHandler(control.NewServer(store), check))
+	m.Handle(replicav1connect.NewReplicaServiceHandler(control.NewReplica(store), check))
 	return m
 }
 
-func operatorRoutes(store *control.Store) http.Handler {
+func operatorRoutes(store *control.Store, s *process.Security) http.Handler {
 	m := http.NewServeMux()
 	process.Metrics(m, "Control", store.Metrics())
+	process.Publish("AccessRefused", s.Table.Refused)
 	return m
 }
--- a/cmd/ebonyreel/command.go
+++ b/cmd/ebonyreel/command.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"os"
 	"strconv"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/spf13/cobra"
 
+	"ebonyreel/access"
 	"ebonyreel/controls"
 	"ebonyreel/faults"
 	"ebonyreel/transport"
@@ -29,6 +32,9 @@
 	environment string
 	operator    string
 	output      string
+	// key and authority name files; both may be empty.
+	key       string
+	authority string
 }
 
 const longHelp = `Operate ebonyreel through documents and planned stops.
@@ -64,6 +70,8 @@
 	f.StringSliceVar(&o.controls, "controls", []string{"127.0.0.1:7100"}, "addresses of the control hosts")
 	f.StringVar(&o.environment, "environment", "", "environment, such as archive-trial")
 	f.StringVar(&o.operator, "operator", os.Getenv("USER"), "name that is recorded with what is done")
+	f.StringVar(&o.key, "key", os.Getenv("EBONYREEL_KEY_FILE"), "file with the operator's key, where keys are checked")
+	f.StringVar(&o.authority, "authority", os.Getenv("EBONYREEL_AUTHORITY_FILE"), "file with the authority's certificate in PEM, where TLS is used")
 	f.StringVar(&o.output, "output", textOutput, "text or json")
 	_ = c.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{textOutput, jsonOutput}, cobra.ShellCompDirectiveNoFileComp))
 	c.AddCommand(newDocumentCommand(o), newStatusCommand(o), newStopCommand(o), newExplainCommand(o))
@@ -83,7 +91,29 @@
 		}
 		addresses = append(addresses, a)
 	}
-	return controls.NewClient(transport.NewClient(), addresses), nil
+	l, err := o.link()
+	if err != nil {
+		return nil, err
+	}
+	return controls.NewClient(l.http, addresses, l.show), nil
+}
+
+// link is how the processes are called: with which TLS and which key.
+type link struct {
+	http *http.Client
+	show connect.ClientOption
+}
+
+func (o *options) link() (link, error) {
+	c, err := transport.OpenCertificates(transport.CertificateFiles{Authority: o.authority})
+	if err != nil {
+		return link{}, wrongFlag("authority", err.Error(), "a file with certificates in PEM")
+	}
+	f, err := access.OpenFile(o.key)
+	if err != nil {
+		return link{}, wrongFlag("key", err.Error(), "a file with a key")
+	}
+	return link{http: transport.NewSecureClient(c), show: connect.WithInterceptors(access.Show(f))}, nil
 }
 
 func (o *options) context() (context.Context, context.CancelFunc) {
--- a/cmd/ebonyreel/command_test.go
+++ b/cmd/ebonyreel/command_test.go
@@ -1,9 +1,17 @@
 package main
 
 import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
+	"encoding/pem"
 	"errors"
 	"fmt"
+	"io"
+	"math/big"
 	"net"
 	"net/http"
 	"net/netip"
@@ -16,7 +24,9 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"ebonyreel/access"
 	"ebonyreel/document"
+	"ebonyreel/settings"
 )
 
 // programs is the folder of the built programs that the scripts run against.
@@ -42,6 +52,7 @@
 			"entry":    startEntry,
 			"call":     call,
 			"exitcode": exitcode,
+			"metrics":  metrics,
 		},
 	})
 }
@@ -52,6 +63,7 @@
 	Peers         netip.AddrPort
 	Operators     netip.AddrPort
 	DataFolder    string
+	Security      *settings.Security `json:",omitempty"`
 }
 
 type entrySettings struct {
@@ -62,6 +74,7 @@
 	Operators     netip.AddrPort
 	Controls      []netip.AddrPort
 	DecisionFile  string
+	Security      *settings.Security `json:",omitempty"`
 }
 
 func startControl(e *testscript.Env) error {
@@ -84,9 +97,59 @@
 	if err := os.WriteFile(filepath.Join(e.WorkDir, "archive.json"), example, 0o600); err != nil {
 		return err
 	}
+	e.Setenv("CONTROL_OPERATORS", s.Operators.String())
+	if s.Security, err = security(e.WorkDir); err != nil {
+		return err
+	}
 	return start(e.WorkDir, "control", s.Name, s, s.Peers, e.Defer)
 }
 
+// security returns what processes are started with where a script has a file
+// named secure: TLS, and keys in process.key and operator.key.
+func security(dir string) (*settings.Security, error) {
+	if _, err := os.Stat(filepath.Join(dir, "secure")); err != nil {
+		return nil, nil
+	}
+	for _, k := range []string{"process", "operator"} {
+		if err := os.WriteFile(filepath.Join(dir, k+".key"), []byte(k+"-key\n"), 0o600); err != nil {
+			return nil, err
+		}
+	}
+	s := &settings.Security{
+		CertificateFile: filepath.Join(dir, "certificate.pem"),
+		PrivateKeyFile:  filepath.Join(dir, "private.pem"),
+		AuthorityFile:   filepath.Join(dir, "certificate.pem"),
+		KeyFile:         filepath.Join(dir, "process.key"),
+		Processes:       []access.Holder{{Name: "any", KeyHash: document.Digest([]byte("process-key"))}},
+		Operators:       []access.Holder{{Name: "ama", KeyHash: document.Digest([]byte("operator-key"))}},
+	}
+	return s, selfSign(s)
+}
+
+// selfSign writes a certificate for 127.0.0.1 that is its own authority.
+func selfSign(s *settings.Security) error {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return err
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &k.PublicKey, k)
+	if err != nil {
+		return err
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(k)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(s.CertificateFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600); err != nil {
+		return err
+	}
+	return os.WriteFile(s.PrivateKeyFile, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: private}), 0o600)
+}
+
 // start runs a program until the script ends, and waits until it listens.
 func start(dir, program, name string, settings any, listens netip.AddrPort, atEnd func(func())) error {
 	b, err := json.Marshal(settings)
@@ -119,10 +182,13 @@
 		Name: args[0], Environment: args[1], FailureDomain: "osu", Callers: freeAddress(), Operators: freeAddress(),
 		Controls: []netip.AddrPort{netip.MustParseAddrPort(ts.Getenv("CONTROLS"))}, DecisionFile: ts.MkAbs(args[0] + ".decisions"),
 	}
+	var err error
+	s.Security, err = security(ts.MkAbs("."))
+	ts.Check(err)
 	ts.Check(start(ts.MkAbs("."), "entry", s.Name, s, s.Operators, ts.Defer))
 	ts.Setenv("ENTRY", s.Callers.String())
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		res, err := http.Get("http://" + s.Operators.String() + "/ready")
+		res, err := get(s.Operators.String(), "/ready")
 		if err != nil {
 			continue
 		}
@@ -134,6 +200,26 @@
 	ts.Fatalf("entry %s is not ready", s.Name)
 }
 
+// get calls an operators' address, with TLS where the process uses it.
+func get(address, path string) (*http.Response, error) {
+	res, err := http.Get("http://" + address + path)
+	if err != nil || res.StatusCode != http.StatusBadRequest {
+		return res, err
+	}
+	_ = res.Body.Close()
+	c := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+	return c.Get("https://" + address + path)
+}
+
+// metrics: metrics prints those of the control process.
+func metrics(ts *testscript.TestScript, _ bool, _ []string) {
+	res, err := get(ts.Getenv("CONTROL_OPERATORS"), "/debug/vars")
+	ts.Check(err)
+	defer func() { _ = res.Body.Close() }()
+	_, err = io.Copy(ts.Stdout(), res.Body)
+	ts.Check(err)
+}
+
 // call: call KEY MODEL STATUS sends a completion that the status must answer.
 func call(ts *testscript.TestScript, _ bool, args []string) {
 	body := fmt.Sprintf(`{"model": %q, "prompt": "to whom it may concern"}`, args[1])
--- a/cmd/ebonyreel/explain.go
+++ b/cmd/ebonyreel/explain.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"strings"
 
@@ -66,7 +65,11 @@
 	if err != nil {
 		return decision.Record{}, err
 	}
-	return askEntries(entriesOf(members), request)
+	l, err := o.link()
+	if err != nil {
+		return decision.Record{}, err
+	}
+	return askEntries(l, entriesOf(members), request)
 }
 
 func entriesOf(members []*controlv1.Member) []*controlv1.Member {
@@ -86,10 +89,9 @@
 	err    error
 }
 
-func askEntries(entries []*controlv1.Member, request string) (decision.Record, error) {
-	client := transport.NewClient()
+func askEntries(l link, entries []*controlv1.Member, request string) (decision.Record, error) {
 	answers := make([]answer, len(entries))
-	each(len(entries), func(i int) { answers[i] = explain(client, entries[i], request) })
+	each(len(entries), func(i int) { answers[i] = explain(l, entries[i], request) })
 	missing := &UnknownRequestError{Request: request}
 	for _, a := range answers {
 		switch {
@@ -105,14 +107,14 @@
 }
 
 // explain asks one entry.
-func explain(client *http.Client, m *controlv1.Member, request string) answer {
+func explain(l link, m *controlv1.Member, request string) answer {
 	a, err := netip.ParseAddrPort(m.GetAddress())
 	if err != nil {
 		return answer{err: err}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	e := entryv1connect.NewEntryServiceClient(client, transport.URL(a))
+	e := entryv1connect.NewEntryServiceClient(l.http, transport.URL(a), l.show)
 	res, err := e.Explain(ctx, connect.NewRequest(&entryv1.ExplainRequest{Request: request}))
 	if err != nil || !res.Msg.GetFound() {
 		return answer{err: err}
--- a/cmd/ebonyreel/status.go
+++ b/cmd/ebonyreel/status.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"sort"
 	"strings"
@@ -62,7 +61,11 @@
 			if err != nil {
 				return err
 			}
-			rows := askAll(members)
+			l, err := o.link()
+			if err != nil {
+				return err
+			}
+			rows := askAll(l, members)
 			sort.Slice(rows, func(i, j int) bool { return rows[i].Name < rows[j].Name })
 			return o.print(c.OutOrStdout(), rows, table(rows))
 		},
@@ -87,10 +90,9 @@
 }
 
 // askAll asks each process for its own status, a few at a time.
-func askAll(members []*controlv1.Member) []row {
-	client := transport.NewClient()
+func askAll(l link, members []*controlv1.Member) []row {
 	rows := make([]row, len(members))
-	each(len(members), func(i int) { rows[i] = ask(client, members[i]) })
+	each(len(members), func(i int) { rows[i] = ask(l, members[i]) })
 	return rows
 }
 
@@ -112,15 +114,15 @@
 	done.Wait()
 }
 
-func ask(client *http.Client, m *controlv1.Member) row {
+func ask(l link, m *controlv1.Member) row {
 	r := rowOf(m)
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	a, err := netip.ParseAddrPort(m.GetAddress())
 	if err == nil && m.GetRole() == controlv1.Role_ROLE_ENTRY {
-		err = r.askEntry(ctx, entryv1connect.NewEntryServiceClient(client, transport.URL(a)))
+		err = r.askEntry(ctx, entryv1connect.NewEntryServiceClient(l.http, transport.URL(a), l.show))
 	} else if err == nil {
-		err = r.askAgent(ctx, agentv1connect.NewAgentServiceClient(client, transport.URL(a)))
+		err = r.askAgent(ctx, agentv1connect.NewAgentServiceClient(l.http, transport.URL(a), l.show))
 	}
 	if err != nil {
 		r.Problem = "no answer: " + err.Error()
--- a/cmd/ebonyreel/stop.go
+++ b/cmd/ebonyreel/stop.go
@@ -51,7 +51,7 @@
 			if err != nil {
 				return err
 			}
-			if err := stop(client, m); err != nil {
+			if err := o.stop(client, m); err != nil {
 				return err
 			}
 			return o.awaitGone(c, m)
@@ -86,7 +86,7 @@
 }
 
 // stop asks an entry itself, and any other process through its membership.
-func stop(client *controls.Client, m *controlv1.Member) error {
+func (o *options) stop(client *controls.Client, m *controlv1.Member) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	if m.GetRole() != controlv1.Role_ROLE_ENTRY {
@@ -98,7 +98,11 @@
 	if err != nil {
 		return err
 	}
-	e := entryv1connect.NewEntryServiceClient(transport.NewClient(), transport.URL(a))
+	l, err := o.link()
+	if err != nil {
+		return err
+	}
+	e := entryv1connect.NewEntryServiceClient(l.http, transport.URL(a), l.show)
 	_, err = e.Drain(ctx, connect.NewRequest(&entryv1.DrainRequest{}))
 	return err
 }
@@ -115,7 +119,10 @@
 // progress beside the output.
 func (o *options) awaitGone(c *cobra.Command, m *controlv1.Member) error {
 	begin := time.Now()
-	client := transport.NewClient()
+	l, err := o.link()
+	if err != nil {
+		return err
+	}
 	for {
 		now, err := o.member(m.GetName())
 		var gone *UnknownProcessError
@@ -126,7 +133,7 @@
 			s := stopped{Name: m.GetName(), StartedAgain: err == nil, Seconds: time.Since(begin).Seconds()}
 			return o.print(c.OutOrStdout(), s, s.String())
 		}
-		r := ask(client, now)
+		r := ask(l, now)
 		_, _ = fmt.Fprintf(c.ErrOrStderr(), "%s is draining: %d in flight, %d queued, %.0f s\n", r.Name, r.InFlight, r.Queued, time.Since(begin).Seconds())
 		time.Sleep(stopPoll)
 	}
--- a/cmd/entry/command.go
+++ b/cmd/entry/command.go
@@ -46,19 +46,40 @@
 	return c
 }
 
+// files are what the settings of an entry name beside addresses.
+type files struct {
+	tracer    *traces.Tracer
+	tracing   connect.Interceptor
+	decisions *decision.Log
+	security  *process.Security
+	// certificates are towards callers; they are nil for plain HTTP.
+	certificates *transport.Certificates
+}
+
+func open(s settings.Entry) (*files, error) {
+	f := &files{}
+	var err error
+	if f.tracer, err = traces.Open(s.TraceFile, "entry", s.Name); err != nil {
+		return nil, err
+	}
+	if f.tracing, err = f.tracer.Interceptor(); err != nil {
+		return nil, err
+	}
+	if f.decisions, err = decision.Open(s.Name, s.DecisionFile); err != nil {
+		return nil, err
+	}
+	if f.security, err = process.OpenSecurity(s.Security); err != nil {
+		return nil, err
+	}
+	f.certificates, err = transport.OpenCertificates(s.CallersCertificateFiles())
+	return f, err
+}
+
 // run starts the duties of an entry and waits for its planned stop.
 func run(s settings.Entry) error {
 	log := logs.New("entry", s.Name)
 	policy, _ := placement.New(s.Policy)
-	tracer, err := traces.Open(s.TraceFile, "entry", s.Name)
-	if err != nil {
-		return err
-	}
-	tracing, err := tracer.Interceptor()
-	if err != nil {
-		return err
-	}
-	decisions, err := decision.Open(s.Name, s.DecisionFile)
+	f, err := open(s)
 	if err != nil {
 		return err
 	}
@@ -67,22 +88,22 @@
 	base, end := context.WithCancel(context.Background())
 	defer end()
 
-	client := controls.NewClient(transport.NewClient(), s.Controls)
+	client := controls.NewClient(f.security.Client, s.Controls, connect.WithInterceptors(f.security.Show))
 	view := controls.NewView(client, s.Environment, log)
 	announcer := controls.NewAnnouncer(client, view, member(s), log)
-	pool := agents.NewPool(s.Name, log, connect.WithInterceptors(tracing))
-	server := entry.NewServer(s.Name, client, view, announcer, pool, policy, decisions, tracer, log)
+	pool := agents.NewPool(s.Name, f.security.Client, log, connect.WithInterceptors(f.tracing, f.security.Show))
+	server := entry.NewServer(s.Name, client, view, announcer, pool, policy, f.decisions, f.tracer, log)
 	go view.Run(base)
 	go announcer.Run(base)
 	go pool.RunReleases(base)
 	go pool.RunRenewals(base)
-	go decisions.Run()
+	go f.decisions.Run()
 
 	callers := transport.NewServer(server.Handler())
-	operators := transport.NewServer(operatorRoutes(server, stop))
+	operators := transport.NewServer(operatorRoutes(server, stop, f.security))
 	failed := make(chan error, 2)
-	go func() { failed <- transport.Serve(base, callers, s.Callers) }()
-	go func() { failed <- transport.Serve(base, operators, s.Operators) }()
+	go func() { failed <- transport.ServeSecure(base, callers, s.Callers, f.certificates) }()
+	go func() { failed <- transport.ServeSecure(base, operators, s.Operators, f.security.Certificates) }()
 	log.WithField("Callers", s.Callers.String()).Info("started")
 	select {
 	case err := <-failed:
@@ -91,8 +112,8 @@
 	}
 	planned(base, server, announcer, log)
 	process.Shutdown(log, callers, operators)
-	decisions.Close()
-	return tracer.Close(base)
+	f.decisions.Close()
+	return f.tracer.Close(base)
 }
 
 // planned drains the server and then leaves the membership.
@@ -115,10 +136,11 @@
 	}
 }
 
-func operatorRoutes(server *entry.Server, stop func()) http.Handler {
+func operatorRoutes(server *entry.Server, stop func(), s *process.Security) http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /ready", server.Ready)
-	m.Handle(entryv1connect.NewEntryServiceHandler(entry.NewOperator(server, stop)))
+	m.Handle(entryv1connect.NewEntryServiceHandler(entry.NewOperator(server, stop), connect.WithInterceptors(s.Check)))
 	process.Metrics(m, "Entry", server.Metrics())
+	process.Publish("AccessRefused", s.Table.Refused)
 	return m
 }
--- a/control/peers.go
+++ b/control/peers.go
@@ -33,7 +33,7 @@
 	names map[string]string
 }
 
-func newPeers(own string, hosts []settings.ControlHost, h *http.Client) *peers {
+func newPeers(own string, hosts []settings.ControlHost, h *http.Client, opts ...connect.ClientOption) *peers {
 	p := &peers{
 		own: own, hosts: hosts,
 		clients: map[string]replicav1connect.ReplicaServiceClient{},
@@ -44,7 +44,7 @@
 		if o.Name == own {
 			continue
 		}
-		p.clients[o.Name] = replicav1connect.NewReplicaServiceClient(h, transport.URL(o.Address))
+		p.clients[o.Name] = replicav1connect.NewReplicaServiceClient(h, transport.URL(o.Address), opts...)
 		p.rings[o.Name] = make(chan *replicav1.Message, messageRing)
 	}
 	return p
--- a/control/server.go
+++ b/control/server.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"ebonyreel/access"
 	"ebonyreel/document"
 	controlv1 "ebonyreel/proto/control/v1"
 	"ebonyreel/state"
@@ -35,7 +36,7 @@
 
 // Submit checks and resolves a document, and accepts it if its number is new.
 func (s *Server) Submit(ctx context.Context, r *connect.Request[controlv1.SubmitRequest]) (*connect.Response[controlv1.SubmitResponse], error) {
-	d, err := resolve(r.Msg)
+	d, err := resolve(ctx, r.Msg)
 	if err != nil {
 		return nil, refuse(err)
 	}
@@ -47,7 +48,7 @@
 }
 
 // resolve fills in a submitted document's defaults and computes its digest.
-func resolve(r *controlv1.SubmitRequest) (*controlv1.Document, error) {
+func resolve(ctx context.Context, r *controlv1.SubmitRequest) (*controlv1.Document, error) {
 	d, err := document.Parse(r.GetDocument())
 	if err != nil {
 		return nil, err
@@ -61,12 +62,13 @@
 		Number:      d.Number,
 		Digest:      digest,
 		Resolved:    b,
-		Submitter:   r.GetSubmitter(),
+		Submitter:   access.Name(ctx, r.GetSubmitter()),
 	}, nil
 }
 
 // Approve records that a document was approved.
 func (s *Server) Approve(ctx context.Context, r *connect.Request[controlv1.ApproveRequest]) (*connect.Response[controlv1.ApproveResponse], error) {
+	r.Msg.Approver = access.Name(ctx, r.Msg.GetApprover())
 	res, err := s.store.Propose(ctx, &controlv1.Command{Kind: &controlv1.Command_Approve{Approve: r.Msg}})
 	if err != nil {
 		return nil, refuse(err)
@@ -76,6 +78,7 @@
 
 // Promote accepts an approved document's bytes in another environment.
 func (s *Server) Promote(ctx context.Context, r *connect.Request[controlv1.PromoteRequest]) (*connect.Response[controlv1.PromoteResponse], error) {
+	r.Msg.Submitter = access.Name(ctx, r.Msg.GetSubmitter())
 	res, err := s.store.Propose(ctx, &controlv1.Command{Kind: &controlv1.Command_Promote{Promote: r.Msg}})
 	if err != nil {
 		return nil, refuse(err)
--- a/control/store.go
+++ b/control/store.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
@@ -79,7 +80,7 @@
 
 // Open reads the data folder of a control host. A folder with rot in it is set
 // aside if other hosts can bring this one up again.
-func Open(s settings.Control, h *http.Client, log *logrus.Entry) (*Store, error) {
+func Open(s settings.Control, h *http.Client, log *logrus.Entry, opts ...connect.ClientOption) (*Store, error) {
 	j, c, err := journal.Open(s.DataFolder)
 	var rot *journal.RotError
 	if errors.As(err, &rot) && len(s.Cluster) > 1 {
@@ -94,7 +95,7 @@
 	}
 	st := &Store{
 		id:      c.ID,
-		peers:   newPeers(s.Name, s.Cluster, h),
+		peers:   newPeers(s.Name, s.Cluster, h, opts...),
 		inputs:  make(chan input, inputRing),
 		state:   state.New(s.WatchHistory),
 		changed: make(chan struct{}),
--- a/process/process.go
+++ b/process/process.go
@@ -27,10 +27,15 @@
 
 // Metrics adds the routes for metrics to a mux.
 func Metrics(m *http.ServeMux, name string, v expvar.Var) {
-	expvar.Publish(name, v)
+	Publish(name, v)
 	m.Handle("GET /debug/vars", expvar.Handler())
 }
 
+// Publish adds one metric to those at /debug/vars.
+func Publish(name string, v expvar.Var) {
+	expvar.Publish(name, v)
+}
+
 // Shutdown closes servers once their work has ended.
 func Shutdown(log *logrus.Entry, servers ...*http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
--- a/settings/check.go
+++ b/settings/check.go
@@ -1,12 +1,16 @@
 package settings
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"net/netip"
 	"os"
+	"strings"
 
 	"github.com/joomcode/errorx"
 
+	"ebonyreel/access"
 	"ebonyreel/faults"
 	"ebonyreel/placement"
 )
@@ -69,6 +73,51 @@
 	}
 }
 
+// together checks that a group of fields is set as a whole, or not at all.
+func (c *checker) together(fields, values []string) {
+	set := 0
+	for _, v := range values {
+		if v != "" {
+			set++
+		}
+	}
+	for i, v := range values {
+		if v == "" && set > 0 {
+			c.Add(fields[i], "nothing", "a file, as "+strings.Join(fields, ", ")+" go together")
+		}
+	}
+}
+
+func (c *checker) security(s Security) {
+	c.together([]string{"Security.CertificateFile", "Security.PrivateKeyFile", "Security.AuthorityFile"},
+		[]string{s.CertificateFile, s.PrivateKeyFile, s.AuthorityFile})
+	if len(s.Processes) > 0 && s.KeyFile == "" {
+		c.Add("Security.KeyFile", "nothing", "a file, as the other processes ask for a key too")
+	}
+	seen := map[string]string{}
+	c.holders("Security.Processes", s.Processes, seen)
+	c.holders("Security.Operators", s.Operators, seen)
+	if len(s.Operators) > 0 && len(s.Processes) == 0 {
+		c.Add("Security.Processes", "none", "at least one holder, as calls of processes are checked too")
+	}
+}
+
+// holders checks those who hold keys; no key may have two holders.
+func (c *checker) holders(at string, all []access.Holder, seen map[string]string) {
+	for i, h := range all {
+		field := fmt.Sprintf("%s[%d]", at, i)
+		c.text(field+".Name", h.Name)
+		if b, err := hex.DecodeString(h.KeyHash); err != nil || len(b) != sha256.Size {
+			c.Add(field+".KeyHash", fmt.Sprintf("%d characters", len(h.KeyHash)), "64 hexadecimal digits, the SHA-256 of the key")
+		}
+		hash := strings.ToLower(h.KeyHash)
+		if first, ok := seen[hash]; ok {
+			c.Add(field+".KeyHash", "the same", "a value other than that of "+first)
+		}
+		seen[hash] = field + ".KeyHash"
+	}
+}
+
 // read fills in v from a file and checks its values. The error is a
 // *CheckError where the file could be read.
 func read(file string, v any, check func(c *checker)) error {
@@ -96,6 +145,8 @@
 		c.listen("Callers", s.Callers)
 		c.listen("Operators", s.Operators)
 		c.controls(s.Controls)
+		c.security(s.Security)
+		c.together([]string{"CallersCertificateFile", "CallersPrivateKeyFile"}, []string{s.CallersCertificateFile, s.CallersPrivateKeyFile})
 		if _, ok := placement.New(s.Policy); !ok {
 			c.Text("Policy", s.Policy, "reserve, round-robin or least-loaded")
 		}
@@ -115,6 +166,7 @@
 		c.listen("Endpoint", s.Endpoint)
 		c.listen("Operators", s.Operators)
 		c.controls(s.Controls)
+		c.security(s.Security)
 		if !s.Announced.IsValid() {
 			s.Announced = s.Peers
 		}
@@ -132,6 +184,7 @@
 		c.listen("Peers", s.Peers)
 		c.listen("Operators", s.Operators)
 		c.text("DataFolder", s.DataFolder)
+		c.security(s.Security)
 		if s.WatchHistory < 1 {
 			c.Add("WatchHistory", s.WatchHistory, "a number from 1")
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,7 +5,9 @@
 import (
 	"net/netip"
 
+	"ebonyreel/access"
 	"ebonyreel/faults"
+	"ebonyreel/transport"
 )
 
 // Entry is the settings of an entry.
@@ -24,6 +26,12 @@
 	Policy string
 	// TraceFile receives spans as JSON lines; empty means none.
 	TraceFile string
+	// Security is towards the other processes and operators.
+	Security Security
+	// CallersCertificateFile and CallersPrivateKeyFile hold PEM for the
+	// address for callers; both are set, or none for plain HTTP.
+	CallersCertificateFile string
+	CallersPrivateKeyFile  string
 	// DecisionFile receives a JSON line for each request; empty means none.
 	DecisionFile string
 }
@@ -45,6 +53,8 @@
 	// Controls has at least one address.
 	Controls  []netip.AddrPort
 	TraceFile string
+	// Security is towards the other processes and operators.
+	Security Security
 }
 
 // Control is the settings of a control process.
@@ -64,6 +74,8 @@
 	// on each; empty means that this host is alone. When no host has a state
 	// yet, the first one begins it.
 	Cluster []ControlHost
+	// Security is towards the other processes and operators.
+	Security Security
 }
 
 // ControlHost is one of the control hosts.
@@ -73,6 +85,32 @@
 	Address netip.AddrPort
 }
 
+// Security says how a process shows who it is, and whose calls it takes. Its
+// zero value uses no TLS and takes every call. All files are read again when
+// they change.
+type Security struct {
+	// CertificateFile, PrivateKeyFile and AuthorityFile hold PEM; all are
+	// set, or none. The certificate names the IP numbers of the process.
+	CertificateFile string
+	PrivateKeyFile  string
+	AuthorityFile   string
+	// KeyFile holds the key that the process shows to others.
+	KeyFile string
+	// Processes and Operators are those whose calls are taken.
+	Processes []access.Holder
+	Operators []access.Holder
+}
+
+// CertificateFiles names the files for TLS.
+func (s Security) CertificateFiles() transport.CertificateFiles {
+	return transport.CertificateFiles{Certificate: s.CertificateFile, PrivateKey: s.PrivateKeyFile, Authority: s.AuthorityFile}
+}
+
+// CallersCertificateFiles names the files for TLS towards callers.
+func (s Entry) CallersCertificateFiles() transport.CertificateFiles {
+	return transport.CertificateFiles{Certificate: s.CallersCertificateFile, PrivateKey: s.CallersPrivateKeyFile}
+}
+
 // CheckError reports everything that is wrong with a settings file.
 type CheckError struct {
 	// File is the path that was read.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"expvar"
+	"log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -58,30 +60,52 @@
 	return c, nil
 }
 
-// NewClient returns a client for the RPCs between processes.
+// NewClient returns a client for the RPCs between processes, without TLS.
 func NewClient() *http.Client {
+	return NewSecureClient(nil)
+}
+
+// NewSecureClient returns a client for the RPCs between processes. Its
+// connections use TLS unless the certificates are nil; URLs are the same.
+func NewSecureClient(c *Certificates) *http.Client {
 	p := &http.Protocols{}
 	p.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{
-		Protocols:   p,
-		HTTP2:       pings(),
-		DialContext: dial,
-	}}
+	t := &http.Transport{Protocols: p, HTTP2: pings(), DialContext: dial}
+	if c != nil {
+		t.DialContext = c.dial
+	}
+	return &http.Client{Transport: t}
 }
 
 // NewServer returns a server for RPCs and plain HTTP on one address.
 func NewServer(h http.Handler) *http.Server {
 	p := &http.Protocols{}
 	p.SetHTTP1(true)
+	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           h,
 		Protocols:         p,
 		HTTP2:             pings(),
 		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          log.New(counter{}, "", 0),
 	}
 }
 
+// connectionErrors counts what servers say of connections that failed, such as
+// TLS handshakes.
+var connectionErrors = expvar.NewInt("ConnectionErrors")
+
+// counter counts lines of a server's log in place of writing them: anybody who
+// reaches the address can bring them on.
+type counter struct{}
+
+// Write counts one line.
+func (counter) Write(b []byte) (int, error) {
+	connectionErrors.Add(1)
+	return len(b), nil
+}
+
 // Listen opens a TCP listener on an address.
 func Listen(ctx context.Context, a netip.AddrPort) (net.Listener, error) {
 	var lc net.ListenConfig
@@ -92,12 +116,21 @@
 	return l, nil
 }
 
-// Serve runs a server on an address until it is shut down.
+// Serve runs a server on an address until it is shut down, without TLS.
 func Serve(ctx context.Context, s *http.Server, a netip.AddrPort) error {
+	return ServeSecure(ctx, s, a, nil)
+}
+
+// ServeSecure runs a server on an address until it is shut down, with TLS
+// unless the certificates are nil.
+func ServeSecure(ctx context.Context, s *http.Server, a netip.AddrPort, c *Certificates) error {
 	l, err := Listen(ctx, a)
 	if err != nil {
 		return err
 	}
+	if c != nil {
+		l = c.listener(l)
+	}
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return errorx.Decorate(err, "serve on %s", a)
 	}
