Give test processes ports that nothing else takes

Cause: tests asked the system for a free port, closed it and started a process on it. The system gives the same ports to outgoing connections, and other runs of tests ask it too: a process then ended with "address already in use", and the test waited for members that never joined. It showed nothing of the logs.

Change: ports come in blocks below the range of outgoing connections; a run holds the first port of its block. A test that fails shows the ends of all logs.

--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -15,6 +15,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -108,30 +109,82 @@
 
 func newCluster(t testing.TB, environment string) *cluster {
 	t.Helper()
-	return &cluster{t: t, dir: t.TempDir(), environment: environment, proxied: map[string]bool{}, links: map[string]*link{}}
+	c := &cluster{t: t, dir: t.TempDir(), environment: environment, proxied: map[string]bool{}, links: map[string]*link{}}
+	t.Cleanup(c.showLogs)
+	return c
 }
 
-// lowestPort and highestPort lie below the ports that the system gives to
-// outgoing connections, which could take one before its process listens.
+// shownBytes bounds what is shown of the log of one process.
+const shownBytes = 1 << 10
+
+// showLogs shows the ends of all logs of a test that has failed.
+func (c *cluster) showLogs() {
+	if !c.t.Failed() {
+		return
+	}
+	files, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		if err == nil {
+			c.t.Logf("the end of %s:\n%s", filepath.Base(f), b[max(0, len(b)-shownBytes):])
+		}
+	}
+}
+
+// Ports of the processes are below those that the system gives to outgoing
+// connections, one of which might take a port before its process listens. They
+// come in blocks; the first port of a block is held by a listener, so that no
+// other run of tests uses the block.
 const (
-	lowestPort  = 10_000
+	lowestPort  = 20_000
 	highestPort = 32_000
+	blockPorts  = 200
 )
 
+// ports gives ports to the processes of this run.
+var ports struct {
+	sync.Mutex
+	// next and end are within the block in use.
+	next, end int
+	// held keeps the blocks of this run.
+	held []net.Listener
+}
+
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
+	ports.Lock()
+	defer ports.Unlock()
 	for {
-		port := lowestPort + rand.IntN(highestPort-lowestPort)
-		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
-		l, err := net.Listen("tcp", a.String())
-		if err == nil {
+		if ports.next == ports.end {
+			takeBlock()
+			continue
+		}
+		a := loopback(ports.next)
+		ports.next++
+		if l, err := net.Listen("tcp", a.String()); err == nil {
 			_ = l.Close()
 			return a
 		}
 	}
 }
 
+// takeBlock takes a block that no other run has.
+func takeBlock() {
+	for {
+		first := lowestPort + blockPorts*rand.IntN((highestPort-lowestPort)/blockPorts)
+		if l, err := net.Listen("tcp", loopback(first).String()); err == nil {
+			ports.held = append(ports.held, l)
+			ports.next, ports.end = first+1, first+blockPorts
+			return
+		}
+	}
+}
+
+func loopback(port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+}
+
 // start writes settings and starts a program with them.
 func (c *cluster) start(p *proc, settings any) *proc {
 	c.t.Helper()
@@ -319,8 +372,8 @@
 	})
 }
 
-// await waits until a number of processes have joined and all entries given
-// are ready.
+// await waits until a number of processes have joined, and all entries given
+// know them and are ready.
 func (c *cluster) await(members int, entries ...*proc) {
 	c.t.Helper()
 	eventually(c.t, 15*time.Second, "members joined", func() bool {
