Wait in tests until the entry knows the members

Cause: tests waited until control knew all members and the entry was ready. Its view may lag by a moment: calls sent at once were rightly refused, as "no decode endpoint serves summariser", and the test waited for a prefill.

Ruled out: sending again in the tests, which would hide refusals that are wrong.

Change: await asks the entry how many members it knows.

--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -20,11 +20,14 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
 
 	"ebonyreel/controls"
 	"ebonyreel/endpoints"
 	controlv1 "ebonyreel/proto/control/v1"
+	entryv1 "ebonyreel/proto/entry/v1"
+	"ebonyreel/proto/entry/v1/entryv1connect"
 	"ebonyreel/transport"
 )
 
@@ -381,6 +384,11 @@
 		return err == nil && len(res.GetItems()) >= members
 	})
 	for _, e := range entries {
+		operator := entryv1connect.NewEntryServiceClient(transport.NewClient(), transport.URL(e.operators))
+		eventually(c.t, 15*time.Second, e.name+" knows the members", func() bool {
+			res, err := operator.Status(context.Background(), connect.NewRequest(&entryv1.StatusRequest{}))
+			return err == nil && int(res.Msg.GetMembers()) >= members
+		})
 		eventually(c.t, 15*time.Second, e.name+" ready", func() bool {
 			res, err := http.Get("http://" + e.operators.String() + "/ready")
 			if err != nil {
