Trace each hop of a request, and keep its text out of errors

Cause: spans for the decision and the answer were missing, the entry dropped the caller's trace context, engines and services were called without one, and no span named the request. An engine's refusal was quoted in errors, and so the prompt stood in the logs, traces and decisions when an engine repeats it.

Ruled out: cutting the engine's text short, as a few words of a letter are text as well; cleaning it, as nobody can know what an engine writes.

Change: Entry continues the caller's trace and notes the request's id, Decision and Answer have spans, calls to engines and services carry the context. Errors of engines have the call and the status, and no text.

OTLP is left: its exporter is not among the libraries here.

--- a/engines/client.go
+++ b/engines/client.go
@@ -12,12 +12,13 @@
 
 	"github.com/dghubble/sling"
 	"github.com/joomcode/errorx"
+
+	"ebonyreel/traces"
 )
 
 const (
 	dialTimeout   = time.Second
 	maxIdle       = 64
-	maxReason     = 1 << 10
 	maxLineBytes  = 64 << 10
 	idleKept      = 30 * time.Second
 	statusSuccess = 2
@@ -132,6 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
+	traces.Inject(ctx, req.Header)
 	res, err := c.http.Do(req.WithContext(ctx))
 	if err != nil {
 		return nil, err
@@ -139,7 +141,6 @@
 	if res.StatusCode/100 == statusSuccess {
 		return res, nil
 	}
-	reason, _ := io.ReadAll(io.LimitReader(res.Body, maxReason))
 	_ = res.Body.Close()
-	return nil, &StatusError{Path: req.URL.Path, Status: res.StatusCode, Reason: string(reason)}
+	return nil, &StatusError{Path: req.URL.Path, Status: res.StatusCode}
 }
--- a/engines/messages.go
+++ b/engines/messages.go
@@ -95,19 +95,18 @@
 	Tokens   int
 }
 
-// StatusError reports an engine's refusal.
+// StatusError reports an engine's refusal. It leaves out the engine's text,
+// which may repeat the prompt: errors go into logs, traces and decisions.
 type StatusError struct {
 	// Path is the call that was refused.
 	Path string
 	// Status is the HTTP status.
 	Status int
-	// Reason is the engine's text.
-	Reason string
 }
 
 // Error names the call and the status.
 func (e *StatusError) Error() string {
-	return fmt.Sprintf("engine answered %s with %d: %s", e.Path, e.Status, e.Reason)
+	return fmt.Sprintf("engine answered %s with %d", e.Path, e.Status)
 }
 
 // BrokenStreamError reports a decode stream without its end.
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -274,6 +274,8 @@
 // decode relays the tokens of one attempt. It reports whether the KV cache was
 // imported, after which the prefill is not wasted.
 func (s *Server) decode(ctx context.Context, g *generation, at *agentv1.Attempt, h held, kv *agentv1.KvHandle) (bool, error) {
+	ctx, span := s.tracer.Start(ctx, "Answer")
+	defer span.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	quiet := time.AfterFunc(tokenSilence, cancel)
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -58,6 +58,8 @@
 
 // reserveMemory has decode memory promised.
 func (s *Server) reserveMemory(ctx context.Context, g *generation, at *agentv1.Attempt) (held, error) {
+	ctx, span := s.tracer.Start(ctx, "Decision")
+	defer span.End()
 	c := s.pool(g, controlv1.Role_ROLE_DECODE)
 	picked := s.policy.Decode(c)
 	if len(picked) == 0 {
@@ -69,6 +71,8 @@
 // reserveTurn has a turn at a prefill endpoint promised. A policy that does
 // not reserve queues at the engine.
 func (s *Server) reserveTurn(ctx context.Context, g *generation, at *agentv1.Attempt) (held, error) {
+	ctx, span := s.tracer.Start(ctx, "Turn")
+	defer span.End()
 	c := s.pool(g, controlv1.Role_ROLE_PREFILL)
 	picked := s.policy.Prefill(c, placement.Prefix(g.call.Prompt, prefixBytes))
 	if len(picked) == 0 {
--- a/entry/server.go
+++ b/entry/server.go
@@ -117,7 +117,7 @@
 	}
 	defer leave()
 	v.log = s.log.WithFields(logrus.Fields{"Request": id, "Caller": v.caller.Name})
-	ctx, span := s.tracer.Start(r.Context(), "Entry")
+	ctx, span := s.tracer.Request(r.Context(), r.Header, "Entry", id)
 	defer span.End()
 	next(ctx, v)
 }
--- /dev/null
+++ b/proof/trace_test.go
@@ -0,0 +1,258 @@
+package proof
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ebonyreel/decision"
+	"ebonyreel/endpoints"
+	"ebonyreel/standin/announce"
+	"ebonyreel/standin/tokens"
+)
+
+// Settings with the files that the other tests leave out.
+type tracedEntry struct {
+	entrySettings
+	TraceFile    string
+	DecisionFile string
+}
+
+type tracedAgent struct {
+	agentSettings
+	TraceFile string
+}
+
+// span is the part of a line of a trace file that is looked at.
+type span struct {
+	Name        string
+	SpanContext struct{ TraceID, SpanID string }
+	Parent      struct{ SpanID string }
+	Attributes  []struct {
+		Key   string
+		Value struct{ Value any }
+	}
+}
+
+// TestTrace sends a call with a trace context through real processes, and one
+// more past an engine that refuses it with the prompt in its answer. One trace
+// spans all hops of the first and goes back to the caller's span; the logs,
+// traces and decisions of both hold no text of prompt or answer.
+func TestTrace(t *testing.T) {
+	c := newCluster(t, "archive-trial")
+	c.control("control-0")
+	c.submit("../examples/archive.json")
+	entry := c.tracedEntry("entry-0")
+	decode := c.tracedAgent("decode-0")
+	c.endpoint(decode, decodeRole)
+	echoing := c.tracedAgent("prefill-1")
+	var carried atomic.Int64
+	c.echo(echoing, &carried)
+	c.await(3, entry)
+
+	const prompt = "This indenture made the fourth of March between Nii Kwabena and the Crown"
+	if r := c.traced(entry, prompt); r.status == http.StatusOK {
+		t.Fatalf("an engine that refuses was answered with %s", r.body)
+	}
+	if carried.Load() == 0 {
+		t.Error("the engine was called without a trace context")
+	}
+	if !echoing.stop(10 * time.Second) {
+		t.Fatal("the echoing agent does not stop")
+	}
+	prefill := c.tracedAgent("prefill-0")
+	c.endpoint(prefill, prefillRole)
+	c.await(3, entry)
+	want, _ := tokens.Answer(prompt, 40)
+	var answer reply
+	eventually(t, 10*time.Second, "an answer", func() bool {
+		answer = c.traced(entry, prompt)
+		return answer.status == http.StatusOK
+	})
+	if !strings.Contains(answer.body, want) {
+		t.Fatalf("the answer is %s", answer.body)
+	}
+	for _, p := range []*proc{entry, prefill, decode} {
+		if !p.stop(15 * time.Second) {
+			t.Fatalf("%s does not stop", p.name)
+		}
+	}
+	request := answer.header.Get("X-Request-Id")
+	checkHops(t, spansOf(t, c.dir, request))
+	if d, ok := decision.FindInFile(filepath.Join(c.dir, "entry-0.decisions"), request); !ok || d.Outcome != decision.Completed || len(d.Choices) != 2 {
+		t.Errorf("decision of %s: %t %+v", request, ok, d)
+	}
+	checkSilence(t, c.dir, prompt, want)
+}
+
+const (
+	callersTrace = "4bf92f3577b34da6a3ce929d0e0e4736"
+	callersSpan  = "00f067aa0ba902b7"
+)
+
+// traced sends a completion with a trace context.
+func (c *cluster) traced(entry *proc, prompt string) reply {
+	body, _ := json.Marshal(map[string]any{"model": "summariser", "prompt": prompt, "max_tokens": 40})
+	r, err := http.NewRequest(http.MethodPost, "http://"+entry.address.String()+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	r.Header.Set("Authorization", "Bearer reading-room-key")
+	r.Header.Set("traceparent", "00-"+callersTrace+"-"+callersSpan+"-01")
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	return reply{status: res.StatusCode, header: res.Header, body: string(b), err: err}
+}
+
+func (c *cluster) tracedEntry(name string) *proc {
+	p := &proc{name: name, program: "entry", address: freeAddress(c.t), operators: freeAddress(c.t)}
+	return c.start(p, tracedEntry{entrySettings{
+		Name: name, Environment: c.environment, FailureDomain: "osu", Callers: p.address, Operators: p.operators, Controls: c.controls,
+	}, filepath.Join(c.dir, name+".trace"), filepath.Join(c.dir, name+".decisions")})
+}
+
+func (c *cluster) tracedAgent(name string) *proc {
+	p := &proc{name: name, program: "agent", address: freeAddress(c.t), operators: freeAddress(c.t), endpoint: freeAddress(c.t)}
+	return c.start(p, tracedAgent{agentSettings{
+		Name: name, Environment: c.environment, FailureDomain: "osu", Peers: p.address, Announced: p.address, Endpoint: p.endpoint,
+		Operators: p.operators, Controls: c.controls,
+	}, filepath.Join(c.dir, name+".trace")})
+}
+
+// endpoint starts a stand-in engine beside an agent.
+func (c *cluster) endpoint(agent *proc, role string) {
+	e := &proc{name: agent.name + "-engine", program: "engine", address: freeAddress(c.t)}
+	c.start(e, engineSettings{Address: e.address, Agent: agent.endpoint, Role: role, Model: "summariser", HistoryFile: filepath.Join(c.dir, e.name+".history")})
+}
+
+// echo announces a prefill engine that refuses every prefill with its body, and
+// counts the calls that carry the caller's trace.
+func (c *cluster) echo(agent *proc, carried *atomic.Int64) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.Header.Get("traceparent"), callersTrace) {
+			carried.Add(1)
+		}
+		if r.URL.Path != "/Prefill" {
+			_, _ = io.WriteString(w, `{"Instance": "echo"}`)
+			return
+		}
+		w.WriteHeader(http.StatusBadRequest)
+		_, _ = io.Copy(w, r.Body)
+	}))
+	c.t.Cleanup(s.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	c.t.Cleanup(cancel)
+	a := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	go announce.Run(ctx, agent.endpoint, func() endpoints.Announcement {
+		return endpoints.Announcement{Address: a, Instance: "echo", Role: prefillRole, Serves: "summariser", Version: "1"}
+	})
+}
+
+// spansOf reads the spans of one request's trace from all files.
+func spansOf(t *testing.T, dir, request string) map[string]span {
+	files, _ := filepath.Glob(filepath.Join(dir, "*.trace"))
+	all := map[string]span{}
+	top := ""
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for line := range bytes.Lines(b) {
+			var s span
+			if err := json.Unmarshal(line, &s); err != nil {
+				t.Fatalf("%s: %v in %s", f, err, line)
+			}
+			all[s.SpanContext.SpanID] = s
+			for _, a := range s.Attributes {
+				if a.Value.Value == request {
+					top = s.SpanContext.SpanID
+				}
+			}
+		}
+	}
+	if top == "" {
+		t.Fatalf("no span names request %s", request)
+	}
+	out := map[string]span{}
+	for id, s := range all {
+		if below(all, s, top) {
+			out[id] = s
+		}
+	}
+	return out
+}
+
+// below reports whether a span is another one or comes from it.
+func below(all map[string]span, s span, top string) bool {
+	for range len(all) {
+		if s.SpanContext.SpanID == top {
+			return true
+		}
+		up, ok := all[s.Parent.SpanID]
+		if !ok {
+			return false
+		}
+		s = up
+	}
+	return false
+}
+
+// checkHops wants a span for each hop, all of the caller's trace.
+func checkHops(t *testing.T, spans map[string]span) {
+	seen := map[string]int{}
+	for _, s := range spans {
+		seen[s.Name]++
+		if s.SpanContext.TraceID != callersTrace {
+			t.Errorf("span %s is of trace %s", s.Name, s.SpanContext.TraceID)
+		}
+		if s.Name == "Entry" && s.Parent.SpanID != callersSpan {
+			t.Errorf("the entry's span comes from %s", s.Parent.SpanID)
+		}
+	}
+	for _, hop := range []string{"Entry", "Decision", "Prefill", "Transfer", "Decode", "Answer"} {
+		if seen[hop] != 1 {
+			t.Errorf("%d spans named %s; all are %v", seen[hop], hop, seen)
+		}
+	}
+}
+
+// checkSilence looks for words of the prompt and for tokens of the answer in
+// all files of the processes, apart from the stand-ins' histories.
+func checkSilence(t *testing.T, dir, prompt, answer string) {
+	for _, kind := range []string{"*.log", "*.trace", "*.decisions"} {
+		files, _ := filepath.Glob(filepath.Join(dir, kind))
+		if len(files) == 0 {
+			t.Errorf("no file is named %s", kind)
+		}
+		for _, f := range files {
+			b, err := os.Open(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			lines := bufio.NewScanner(b)
+			lines.Buffer(nil, 1<<20)
+			for lines.Scan() {
+				if strings.Contains(lines.Text(), "Nii Kwabena") || strings.Contains(lines.Text(), prompt[:20]) || strings.Contains(lines.Text(), answer[:30]) {
+					t.Errorf("%s has text of a call: %.80s...", filepath.Base(f), lines.Text())
+				}
+			}
+			_ = b.Close()
+		}
+	}
+}
--- a/services/client.go
+++ b/services/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/dghubble/sling"
+
+	"ebonyreel/traces"
 )
 
 const (
@@ -125,5 +127,6 @@
 		return nil, err
 	}
 	req.Method = r.Method
+	traces.Inject(ctx, req.Header)
 	return req.WithContext(ctx), nil
 }
--- a/traces/traces.go
+++ b/traces/traces.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"path/filepath"
 
@@ -73,6 +74,20 @@
 	return t.Provider().Tracer("ebonyreel").Start(ctx, name)
 }
 
+// Request begins the first span of a request here, below the span that the
+// headers name, and notes the request's id in it.
+func (t *Tracer) Request(ctx context.Context, h http.Header, name, request string) (context.Context, trace.Span) {
+	ctx = propagation.TraceContext{}.Extract(ctx, propagation.HeaderCarrier(h))
+	ctx, span := t.Start(ctx, name)
+	span.SetAttributes(attribute.String("Request", request))
+	return ctx, span
+}
+
+// Inject writes the trace context into the headers of an outgoing call.
+func Inject(ctx context.Context, h http.Header) {
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(h))
+}
+
 // Interceptor returns an interceptor that carries the trace context over RPCs,
 // and makes a span for each.
 func (t *Tracer) Interceptor() (connect.Interceptor, error) {
