Try keys and TLS between control hosts too

Cause: the script for keys ran against one control host, so the calls between control hosts, which carry the replicated log, were not tried with keys and TLS.

Ruled out: three hosts in every script, as it costs 1 s each and proves nothing further.

--- a/cmd/ebonyreel/command_test.go
+++ b/cmd/ebonyreel/command_test.go
@@ -65,6 +65,7 @@
 	Peers         netip.AddrPort
 	Operators     netip.AddrPort
 	DataFolder    string
+	Cluster       []settings.ControlHost
 	Security      *settings.Security `json:",omitempty"`
 }
 
@@ -80,9 +81,38 @@
 }
 
 func startControl(e *testscript.Env) error {
-	s := controlSettings{Name: "control-0", FailureDomain: "osu", Peers: freeAddress(), Operators: freeAddress(), DataFolder: filepath.Join(e.WorkDir, "data")}
-	e.Setenv("CONTROLS", s.Peers.String())
+	if err := copyExample(e); err != nil {
+		return err
+	}
+	x, err := security(e.WorkDir)
+	if err != nil {
+		return err
+	}
+	// Three hosts where they have to show keys to one another.
+	cluster := []settings.ControlHost{{Name: "control-0", Address: freeAddress()}}
+	if x != nil {
+		cluster = append(cluster, settings.ControlHost{Name: "control-1", Address: freeAddress()}, settings.ControlHost{Name: "control-2", Address: freeAddress()})
+	}
+	var addresses, operators []string
+	for _, h := range cluster {
+		s := controlSettings{
+			Name: h.Name, FailureDomain: "osu", Peers: h.Address, Operators: freeAddress(),
+			DataFolder: filepath.Join(e.WorkDir, h.Name), Cluster: cluster, Security: x,
+		}
+		if err := start(e.WorkDir, "control", s.Name, s, s.Peers, e.Defer); err != nil {
+			return err
+		}
+		addresses, operators = append(addresses, s.Peers.String()), append(operators, s.Operators.String())
+	}
+	e.Setenv("CONTROLS", strings.Join(addresses, ","))
+	e.Setenv("CONTROL_OPERATORS", strings.Join(operators, ","))
 	e.Setenv("NOBODY", freeAddress().String())
+	return nil
+}
+
+// copyExample puts a document into the script's folder, and its digest into
+// its environment.
+func copyExample(e *testscript.Env) error {
 	example, err := os.ReadFile("../../examples/archive.json")
 	if err != nil {
 		return err
@@ -96,14 +126,7 @@
 		return err
 	}
 	e.Setenv("DIGEST", digest)
-	if err := os.WriteFile(filepath.Join(e.WorkDir, "archive.json"), example, 0o600); err != nil {
-		return err
-	}
-	e.Setenv("CONTROL_OPERATORS", s.Operators.String())
-	if s.Security, err = security(e.WorkDir); err != nil {
-		return err
-	}
-	return start(e.WorkDir, "control", s.Name, s, s.Peers, e.Defer)
+	return os.WriteFile(filepath.Join(e.WorkDir, "archive.json"), example, 0o600)
 }
 
 // security returns what processes are started with where a script has a file
@@ -182,7 +205,10 @@
 func startEntry(ts *testscript.TestScript, _ bool, args []string) {
 	s := entrySettings{
 		Name: args[0], Environment: args[1], FailureDomain: "osu", Callers: freeAddress(), Operators: freeAddress(),
-		Controls: []netip.AddrPort{netip.MustParseAddrPort(ts.Getenv("CONTROLS"))}, DecisionFile: ts.MkAbs(args[0] + ".decisions"),
+		DecisionFile: ts.MkAbs(args[0] + ".decisions"),
+	}
+	for _, c := range strings.Split(ts.Getenv("CONTROLS"), ",") {
+		s.Controls = append(s.Controls, netip.MustParseAddrPort(c))
 	}
 	var err error
 	s.Security, err = security(ts.MkAbs("."))
@@ -213,13 +239,15 @@
 	return c.Get("https://" + address + path)
 }
 
-// metrics: metrics prints those of the control process.
+// metrics: metrics prints those of the control processes.
 func metrics(ts *testscript.TestScript, _ bool, _ []string) {
-	res, err := get(ts.Getenv("CONTROL_OPERATORS"), "/debug/vars")
-	ts.Check(err)
-	defer func() { _ = res.Body.Close() }()
-	_, err = io.Copy(ts.Stdout(), res.Body)
-	ts.Check(err)
+	for _, a := range strings.Split(ts.Getenv("CONTROL_OPERATORS"), ",") {
+		res, err := get(a, "/debug/vars")
+		ts.Check(err)
+		_, err = io.Copy(ts.Stdout(), res.Body)
+		ts.Check(err)
+		_ = res.Body.Close()
+	}
 }
 
 // call: call KEY MODEL STATUS sends a completion that the status must answer.
