Work out the capacity at the target size from measured slopes

Ruled out: real agents by the hundred, whose own processor time would hide that of control on one machine; numbers without their commands.

Change: standin/members stands for many processes towards control: connections, leases, watches, changes, restarts and lists. make bench-capacity runs it at three sizes of members and of documents, with the benches of parsing, renewals and decisions. docs/CAPACITY.md works out the rest and says what passes a limit.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 PROGRAMS := entry agent control ebonyreel
-STANDINS := engine service weightstore load
+STANDINS := engine service weightstore load members
 MODULES  := . proof $(PROGRAMS:%=cmd/%) $(STANDINS:%=standin/%)
 PACKAGES := $(MODULES:%=./%/...)
 # Tests that start programs. They run each time: the go tool's cached results
@@ -8,7 +8,7 @@
 LINT     := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 SEEDS    ?= 20
 
-.PHONY: build demo test lint format generate proof bench bench-control
+.PHONY: build demo test lint format generate proof bench bench-control bench-capacity
 
 build:
 	@mkdir -p build
@@ -50,3 +50,10 @@
 # Commits, failover, time to in force, and watching against polling.
 bench-control: build
 	@go test -count=1 -run '^$$' -bench Control -benchtime 1x -timeout 20m ./proof/...
+
+# The slopes behind docs/CAPACITY.md, from about a minute of small stand-ins.
+bench-capacity: build
+	@scripts/capacity.sh
+	@go test ./document -run '^$$' -bench 'Parse|Load' -benchmem
+	@go test ./agents -run '^$$' -bench Renew -benchtime 3000x
+	@go test ./decision -run '^$$' -bench Record -benchmem
--- /dev/null
+++ b/agents/renew_test.go
@@ -0,0 +1,99 @@
+package agents
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	agentv1 "ebonyreel/proto/agent/v1"
+	"ebonyreel/proto/agent/v1/agentv1connect"
+	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/transport"
+)
+
+// fakeAgent answers renewals.
+type fakeAgent struct {
+	agentv1connect.UnimplementedAgentServiceHandler
+}
+
+func (fakeAgent) Renew(context.Context, *connect.Request[agentv1.RenewRequest]) (*connect.Response[agentv1.RenewResponse], error) {
+	return connect.NewResponse(&agentv1.RenewResponse{AgentIncarnation: 1, EndpointUp: true, Load: &agentv1.LoadReport{PiecesFree: 40, PiecesTotal: 80, Running: 20}}), nil
+}
+
+// countedConn counts the bytes of one connection in both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkRenew is one renewal between an entry and an agent, both ends in
+// this process, with some attempts in it.
+func BenchmarkRenew(b *testing.B) {
+	for _, n := range []int{1, 4, 16, 64} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			_, h := agentv1connect.NewAgentServiceHandler(fakeAgent{})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			s := transport.NewServer(h)
+			go func() { _ = s.Serve(l) }()
+			defer func() { _ = s.Close() }()
+			var bytes atomic.Int64
+			client := transport.NewClient()
+			t := client.Transport.(*http.Transport)
+			dial := t.DialContext
+			t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := dial(ctx, network, address)
+				return &countedConn{Conn: c, bytes: &bytes}, err
+			}
+			p := NewPool("entry-000", client, logrus.NewEntry(logrus.New()))
+			a := l.Addr().(*net.TCPAddr).AddrPort()
+			r, err := p.Peer(&controlv1.Member{Name: "agent", Address: netip.AddrPortFrom(a.Addr().Unmap(), a.Port()).String()})
+			if err != nil {
+				b.Fatal(err)
+			}
+			for i := range n {
+				r.Track(&agentv1.Attempt{Request: fmt.Sprintf("%026d", i), Number: 1, Entry: "entry-000"})
+			}
+			p.renew(context.Background(), r)
+			bytes.Store(0)
+			before := cpu(b)
+			for b.Loop() {
+				p.renew(context.Background(), r)
+			}
+			b.ReportMetric(float64(cpu(b)-before)/float64(b.N)/float64(time.Microsecond), "cpu-us/op")
+			b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op")
+		})
+	}
+}
+
+// cpu is the processor time of this process, both ends of the renewal.
+func cpu(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/standin/members/process.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// clockTick is the unit of processor time in /proc.
+	clockTick = 10 * time.Millisecond
+	// userTimeField and systemTimeField count from the field after the name.
+	userTimeField   = 11
+	systemTimeField = 12
+	kibibyte        = 1 << 10
+	mebibyte        = 1 << 20
+)
+
+// process is one process that is looked at.
+type process struct {
+	name string
+	id   int
+}
+
+// parseProcesses reads name=id pairs with commas between.
+func parseProcesses(s string) ([]process, error) {
+	var out []process
+	for _, p := range strings.FieldsFunc(s, func(r rune) bool { return r == ',' }) {
+		name, number, _ := strings.Cut(p, "=")
+		id, err := strconv.Atoi(number)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, process{name: name, id: id})
+	}
+	return out, nil
+}
+
+// cpu is the processor time that a process has taken; zero once it has ended.
+func (p process) cpu() time.Duration {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.id))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(b), ") ")
+	f := strings.Fields(rest)
+	if len(f) <= systemTimeField {
+		return 0
+	}
+	user, _ := strconv.Atoi(f[userTimeField])
+	system, _ := strconv.Atoi(f[systemTimeField])
+	return time.Duration(user+system) * clockTick
+}
+
+// memory is the resident memory of a process in MiB, now and at its highest.
+func (p process) memory() (now, highest float64) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.id))
+	if err != nil {
+		return 0, 0
+	}
+	for line := range strings.Lines(string(b)) {
+		f := strings.Fields(line)
+		if len(f) < 2 {
+			continue
+		}
+		v, _ := strconv.ParseFloat(f[1], 64)
+		switch f[0] {
+		case "VmRSS:":
+			now = v * kibibyte / mebibyte
+		case "VmHWM:":
+			highest = v * kibibyte / mebibyte
+		}
+	}
+	return now, highest
+}
