Notice silent connections and retry elsewhere

Cause: nothing bounded a decode stream or a prefill that an engine's connection had gone silent on, so that such a call never ended; a retry could go to the agent that had just failed, over the same connection; the losers of a reservation whose grant was still on its way kept their promise until its lease lapsed (seen in the engines' histories as cancels 3 s later); a completion was refused as "not run" although a prefill had run; a caller that read slowly was taken for a silent agent; the peers of an entry were never forgotten; one release without an answer held up the others. Ruled out: a fixed time for a prefill, as it may wait and run for long; keeping connections to the engine beside the agent, as each idle one may be silent. Change: a decode stream may be silent for 2.5 s while it is read; a prefill is given up when the engine does not list it twice in a row, asked each second over a new connection; each call to an engine dials. An entry prefers agents that have not failed the request, dials anew after a lost call, pauses before it repeats what was not run, says "outcome unknown" once a prefill may have run, releases all losers, and forgets agents after 5 idle minutes. A crash of an engine is told from silence: an engine that answers nothing in time is lost, not crashed. Conclusion: holds for single failures; several at once come next.

--- a/agent/generate.go
+++ b/agent/generate.go
@@ -20,7 +20,7 @@
 	// streamHeartbeat is the longest silence on a stream to an entry.
 	streamHeartbeat = time.Second
 	// importTimeout bounds the transfer of a KV cache.
-	importTimeout = 5 * time.Second
+	importTimeout = 3 * time.Second
 	// probeTimeout bounds the look whether an engine is still there.
 	probeTimeout = 500 * time.Millisecond
 	// tokenRing bounds the tokens between the engine and a slow entry.
@@ -157,15 +157,24 @@
 	if errors.As(err, &status) {
 		return refusal(agentv1.Refusal_CODE_NOT_RUN, err)
 	}
-	ctx, cancel := context.WithTimeout(a.base, probeTimeout)
-	defer cancel()
-	running, probe := e.engine.Running(ctx)
-	if probe != nil || running.Instance != e.announcement.Instance {
+	if a.crashed(e) {
 		return refusal(agentv1.Refusal_CODE_ENDPOINT_CRASHED, err)
 	}
 	return refusal(agentv1.Refusal_CODE_OUTCOME_UNKNOWN, err)
 }
 
+// crashed reports whether an engine has ended. One that does not answer in
+// time may only be out of reach.
+func (a *Agent) crashed(e *endpoint) bool {
+	ctx, cancel := context.WithTimeout(a.base, probeTimeout)
+	defer cancel()
+	running, err := e.engine.Running(ctx)
+	if err == nil {
+		return running.Instance != e.announcement.Instance
+	}
+	return ctx.Err() == nil
+}
+
 // Decode imports a KV cache into promised memory and streams the tokens.
 // Whatever way it ends, the promise is released, but not before the engine
 // has let its memory go.
--- a/agents/pool.go
+++ b/agents/pool.go
@@ -25,7 +25,11 @@
 	// is left to the lease.
 	releaseRing    = 4096
 	releaseTimeout = time.Second
-	releasesAtOnce = 16
+	// releasesAtOnce bounds the releases under way, so that an agent without
+	// an answer does not hold up the others.
+	releasesAtOnce = 128
+	// idleKept is how long an agent that nothing asks for is remembered.
+	idleKept = 5 * time.Minute
 )
 
 // Load is the newest load that an agent reported with an answer.
@@ -42,12 +46,13 @@
 
 // Pool has one peer for each agent in use. It is safe for concurrent use.
 type Pool struct {
-	http *http.Client
 	// entry is the name of this process, as leases know it.
 	entry string
+	// fresh makes the client of a new connection.
+	fresh func() *http.Client
 	opts  []connect.ClientOption
 	log   *logrus.Entry
-	// releases are sent by one goroutine.
+	// releases are taken up by one goroutine.
 	releases chan release
 
 	mu sync.Mutex
@@ -70,7 +75,8 @@
 	// Name is the agent's name.
 	Name string
 	// Client calls the agent.
-	Client agentv1connect.AgentServiceClient
+	Client     agentv1connect.AgentServiceClient
+	connection *connection
 
 	mu   sync.Mutex
 	load Load
@@ -85,10 +91,11 @@
 	number  uint32
 }
 
-// NewPool returns a pool without peers.
-func NewPool(entry string, h *http.Client, log *logrus.Entry, opts ...connect.ClientOption) *Pool {
+// NewPool returns a pool without peers. Each peer has an HTTP client of its own
+// from fresh, as a suspect connection is replaced and not reused.
+func NewPool(entry string, fresh func() *http.Client, log *logrus.Entry, opts ...connect.ClientOption) *Pool {
 	return &Pool{
-		http:     h,
+		fresh:    fresh,
 		entry:    entry,
 		opts:     opts,
 		log:      log,
@@ -108,13 +115,17 @@
 	defer p.mu.Unlock()
 	r, ok := p.peers[k]
 	if !ok {
+		n := newConnection(p.fresh)
 		r = &Peer{
-			Name:     m.GetName(),
-			Client:   agentv1connect.NewAgentServiceClient(p.http, transport.URL(a), p.opts...),
-			attempts: map[attemptKey]*agentv1.Attempt{},
+			Name:       m.GetName(),
+			Client:     agentv1connect.NewAgentServiceClient(n, transport.URL(a), p.opts...),
+			connection: n,
+			attempts:   map[attemptKey]*agentv1.Attempt{},
 		}
 		p.peers[k] = r
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.used = time.Now()
 	return r, nil
 }
@@ -151,6 +162,12 @@
 	}
 }
 
+// Redial makes later calls go over a new connection, as the one in use may be
+// silent.
+func (r *Peer) Redial() {
+	r.connection.redial()
+}
+
 // Track renews the lease of an attempt until the returned function is called.
 func (r *Peer) Track(a *agentv1.Attempt) func() {
 	k := attemptKey{request: a.GetRequest(), number: a.GetNumber()}
@@ -175,20 +192,17 @@
 
 // RunReleases sends releases until the context ends, a few at once.
 func (p *Pool) RunReleases(ctx context.Context) {
-	var wg sync.WaitGroup
-	for range releasesAtOnce {
-		wg.Go(func() { p.runReleases(ctx) })
-	}
-	wg.Wait()
-}
-
-func (p *Pool) runReleases(ctx context.Context) {
+	slots := make(chan struct{}, releasesAtOnce)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case r := <-p.releases:
-			p.sendRelease(ctx, r)
+			slots <- struct{}{}
+			go func() {
+				p.sendRelease(ctx, r)
+				<-slots
+			}()
 		}
 	}
 }
@@ -210,23 +224,28 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
-			for _, r := range p.busy() {
+		case now := <-t.C:
+			for _, r := range p.busy(now) {
 				go p.renew(ctx, r)
 			}
 		}
 	}
 }
 
-// busy returns the peers that hold attempts.
-func (p *Pool) busy() []*Peer {
+// busy returns the peers that hold attempts, and forgets those that have been
+// idle for long.
+func (p *Pool) busy(now time.Time) []*Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []*Peer
-	for _, r := range p.peers {
+	for k, r := range p.peers {
 		r.mu.Lock()
-		if len(r.attempts) > 0 {
+		switch {
+		case len(r.attempts) > 0:
 			out = append(out, r)
+		case now.Sub(r.used) > idleKept:
+			r.connection.close()
+			delete(p.peers, k)
 		}
 		r.mu.Unlock()
 	}
--- a/agents/renew_test.go
+++ b/agents/renew_test.go
@@ -68,7 +68,7 @@
 				c, err := dial(ctx, network, address)
 				return &countedConn{Conn: c, bytes: &bytes}, err
 			}
-			p := NewPool("entry-000", client, logrus.NewEntry(logrus.New()))
+			p := NewPool("entry-000", func() *http.Client { return client }, logrus.NewEntry(logrus.New()))
 			a := l.Addr().(*net.TCPAddr).AddrPort()
 			r, err := p.Peer(&controlv1.Member{Name: "agent", Address: netip.AddrPortFrom(a.Addr().Unmap(), a.Port()).String()})
 			if err != nil {
--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -18,6 +18,8 @@
 	KvGone
 	// Refused means that waiting would be of no use to this caller.
 	Refused
+	// CallerGone means that the caller's connection broke.
+	CallerGone
 )
 
 // Action is what to do next.
@@ -35,6 +37,9 @@
 const (
 	// maxTries bounds the tries of one request.
 	maxTries = 6
+	// firstPause is the pause before the next try of what was not run; it
+	// doubles with each try.
+	firstPause = 50 * time.Millisecond
 	// maxCrashes bounds the endpoints that one request may have crashed.
 	maxCrashes = 2
 )
@@ -44,6 +49,8 @@
 	Action Action
 	// RetryAfter is when the caller may come back, for Refuse and Break.
 	RetryAfter time.Duration
+	// Pause is the time before the next try, for Retry.
+	Pause time.Duration
 	// Strike is true where the content is counted as part of a crash.
 	Strike bool
 }
@@ -55,6 +62,9 @@
 	Tries int
 	// Crashes counts those that ended with the endpoint.
 	Crashes int
+	// Started is true once an endpoint may have worked on the request, so that
+	// "not run" would not be true of it.
+	Started bool
 	// Sent is the number of tokens that the caller has been sent.
 	Sent int
 }
@@ -69,6 +79,9 @@
 		p.Crashes++
 		d.Strike = true
 	}
+	if f == NotRun {
+		d.Pause = firstPause << (p.Tries - 1)
+	}
 	if f == Refused || p.Tries >= maxTries || p.Crashes > maxCrashes || !budget {
 		d.Action = p.end()
 		d.RetryAfter = max(retryAfter, time.Second)
--- a/cmd/entry/command.go
+++ b/cmd/entry/command.go
@@ -91,7 +91,7 @@
 	client := controls.NewClient(f.security.Client, s.Controls, connect.WithInterceptors(f.security.Show))
 	view := controls.NewView(client, s.Environment, log)
 	announcer := controls.NewAnnouncer(client, view, member(s), log)
-	pool := agents.NewPool(s.Name, f.security.Client, log, connect.WithInterceptors(f.tracing, f.security.Show))
+	pool := agents.NewPool(s.Name, f.security.NewClient, log, connect.WithInterceptors(f.tracing, f.security.Show))
 	server := entry.NewServer(s.Name, client, view, announcer, pool, policy, f.decisions, f.tracer, log)
 	go view.Run(base)
 	go announcer.Run(base)
--- a/engines/client.go
+++ b/engines/client.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -18,13 +20,20 @@
 
 const (
 	dialTimeout   = time.Second
-	maxIdle       = 64
 	maxLineBytes  = 64 << 10
-	idleKept      = 30 * time.Second
 	statusSuccess = 2
+	// decodeSilence is how long a decode stream may bring nothing.
+	decodeSilence = 2500 * time.Millisecond
+	// prefillLook is the time between looks whether an engine still has a
+	// prompt whose answer is awaited, lookTimeout the longest of them, and
+	// looksMissed how many in a row may miss it.
+	prefillLook = time.Second
+	lookTimeout = 500 * time.Millisecond
+	looksMissed = 2
 )
 
-// Client calls one engine. It is safe for concurrent use.
+// Client calls one engine. It dials for each call, as an idle connection may
+// have gone silent. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
 	base *sling.Sling
@@ -34,22 +43,56 @@
 func NewClient(a netip.AddrPort) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
 	h := &http.Client{Transport: &http.Transport{
-		DialContext:         d.DialContext,
-		MaxIdleConnsPerHost: maxIdle,
-		IdleConnTimeout:     idleKept,
+		DialContext:       d.DialContext,
+		DisableKeepAlives: true,
 	}}
 	return &Client{http: h, base: sling.New().Base("http://" + a.String())}
 }
 
-// Close drops the idle connections.
-func (c *Client) Close() {
-	c.http.CloseIdleConnections()
-}
-
-// Prefill computes the KV cache of a prompt and exports it.
+// Prefill computes the KV cache of a prompt and exports it. The error is a
+// *SilentError when the engine has no such prompt and its answer does not come.
 func (c *Client) Prefill(ctx context.Context, r PrefillCall) (PrefillResult, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go c.watch(ctx, r.Request, cancel)
 	var out PrefillResult
-	return out, c.call(ctx, c.base.New().Post("/Prefill").BodyJSON(r), &out)
+	err := c.call(ctx, c.base.New().Post("/Prefill").BodyJSON(r), &out)
+	return out, cause(ctx, err)
+}
+
+// watch gives a prompt up when the engine neither lists nor answers it. A
+// prompt may wait and run for long, so the list is its sign of progress.
+func (c *Client) watch(ctx context.Context, request string, giveUp context.CancelCauseFunc) {
+	t := time.NewTicker(prefillLook)
+	defer t.Stop()
+	for missed := 0; missed < looksMissed; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		missed++
+		if c.lists(ctx, request) {
+			missed = 0
+		}
+	}
+	giveUp(&SilentError{Request: request})
+}
+
+func (c *Client) lists(ctx context.Context, request string) bool {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	r, err := c.Running(ctx)
+	return err == nil && slices.Contains(r.Requests, request)
+}
+
+// cause prefers the silence that ended a call over the error it led to.
+func cause(ctx context.Context, err error) error {
+	var silent *SilentError
+	if err != nil && errors.As(context.Cause(ctx), &silent) {
+		return silent
+	}
+	return err
 }
 
 // Import fetches a KV cache into the engine's memory.
@@ -81,8 +124,18 @@
 }
 
 // Decode streams tokens to a function until the end marker. The error is a
-// *BrokenStreamError when the stream ends without one.
+// *BrokenStreamError when the stream ends without one, and a *SilentError when
+// it brings nothing for long.
 func (c *Client) Decode(ctx context.Context, r DecodeCall, take func(Token) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	quiet := time.AfterFunc(decodeSilence, func() { cancel(&SilentError{Request: r.Request}) })
+	defer quiet.Stop()
+	return cause(ctx, c.decode(ctx, r, quiet, take))
+}
+
+// decode reads a stream. The timer runs only while the engine is waited for.
+func (c *Client) decode(ctx context.Context, r DecodeCall, quiet *time.Timer, take func(Token) error) error {
 	res, err := c.send(ctx, c.base.New().Post("/Decode").BodyJSON(r))
 	if err != nil {
 		return err
@@ -96,6 +149,7 @@
 		if err := json.Unmarshal(lines.Bytes(), &t); err != nil {
 			return &BrokenStreamError{Position: last}
 		}
+		quiet.Stop()
 		if err := take(t); err != nil {
 			return err
 		}
@@ -103,6 +157,7 @@
 			return nil
 		}
 		last = t.Position
+		quiet.Reset(decodeSilence)
 	}
 	if ctx.Err() != nil {
 		return ctx.Err()
--- a/engines/messages.go
+++ b/engines/messages.go
@@ -109,6 +109,16 @@
 	return fmt.Sprintf("engine answered %s with %d", e.Path, e.Status)
 }
 
+// SilentError reports a call of which nothing is heard any more.
+type SilentError struct {
+	Request string
+}
+
+// Error names the request.
+func (e *SilentError) Error() string {
+	return "engine is silent about request " + e.Request
+}
+
 // BrokenStreamError reports a decode stream without its end.
 type BrokenStreamError struct {
 	// Position is that of the last token received.
--- a/entry/baseline.go
+++ b/entry/baseline.go
@@ -14,6 +14,7 @@
 	if err != nil {
 		return err
 	}
+	defer prefiller.Track(at)()
 	held, err := s.reserveMemory(ctx, g, at)
 	if err != nil {
 		s.counts.Wasted.Add(1)
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"connectrpc.com/connect"
@@ -47,6 +46,8 @@
 	digest string
 	// arrived is when the call came.
 	arrived time.Time
+	// avoided names the agents that failed this request; another is preferred.
+	avoided map[string]bool
 	// deadline is when the caller's patience ends; zero means never.
 	deadline time.Time
 }
@@ -75,93 +76,6 @@
 	return &agentv1.Attempt{Request: g.visit.id, Number: g.number, Entry: entry}
 }
 
-// failure is a try that failed.
-type failure struct {
-	kind       attempt.Failure
-	retryAfter time.Duration
-	cause      error
-}
-
-// Error gives the cause.
-func (f *failure) Error() string {
-	return f.cause.Error()
-}
-
-// run tries a generation until it is answered, refused or given up by its
-// caller.
-func (s *Server) run(ctx context.Context, g *generation) {
-	for {
-		g.number++
-		err := s.try(ctx, g)
-		if err == nil {
-			s.counts.Completed.Add(1)
-			g.visit.decision.End(decision.Completed, "")
-			return
-		}
-		if ctx.Err() != nil {
-			g.visit.log.WithError(err).Info("caller is gone")
-			g.visit.decision.End(decision.CallerGone, err.Error())
-			return
-		}
-		f := failureOf(err)
-		d := g.progress.Fail(f.kind, f.retryAfter, s.retries.Allow())
-		g.visit.log.WithError(err).WithField("Attempt", g.number).Warn("try failed")
-		g.visit.decision.Fail(g.number, err.Error())
-		if d.Strike {
-			s.strike(ctx, g)
-		}
-		if d.Action != attempt.Retry {
-			s.giveUp(g, d, err)
-			return
-		}
-		s.counts.Retried.Add(1)
-	}
-}
-
-// giveUp ends a generation with its final answer, at once.
-func (s *Server) giveUp(g *generation, d attempt.Decision, err error) {
-	r := &callers.RefusalError{Code: callers.NotRun, Message: err.Error(), RetryAfter: d.RetryAfter}
-	if d.Action == attempt.Break {
-		r.Code = callers.Broken
-	}
-	s.counts.refused(r.Code)
-	g.visit.decision.End(string(r.Code), r.Message)
-	g.answer.Refuse(r)
-}
-
-// strike counts a crash against the content, so that every entry knows.
-func (s *Server) strike(ctx context.Context, g *generation) {
-	_, err := s.client.AddStrikes(ctx, &controlv1.AddStrikesRequest{
-		Environment: s.announcer.Member().GetEnvironment(), ContentDigests: []string{g.digest},
-	})
-	if err != nil {
-		g.visit.log.WithError(err).Warn("strike not recorded")
-	}
-}
-
-// failureOf classifies an error of a try.
-func failureOf(err error) *failure {
-	var f *failure
-	if errors.As(err, &f) {
-		return f
-	}
-	var r *agents.RefusalError
-	if !errors.As(agents.Received(err), &r) {
-		return &failure{kind: attempt.Lost, cause: err}
-	}
-	kinds := map[agentv1.Refusal_Code]attempt.Failure{
-		agentv1.Refusal_CODE_NOT_RUN:          attempt.NotRun,
-		agentv1.Refusal_CODE_STALE:            attempt.NotRun,
-		agentv1.Refusal_CODE_ENDPOINT_CRASHED: attempt.Crashed,
-		agentv1.Refusal_CODE_KV_GONE:          attempt.KvGone,
-	}
-	k, ok := kinds[r.Code]
-	if !ok {
-		k = attempt.Lost
-	}
-	return &failure{kind: k, retryAfter: r.RetryAfter, cause: r}
-}
-
 // try makes one attempt: memory is promised first, then the prompt is
 // computed, then the answer is decoded where the memory is.
 func (s *Server) try(ctx context.Context, g *generation) error {
@@ -189,6 +103,7 @@
 	}
 	if err != nil {
 		s.agents.Release(held.peer, at)
+		g.avoidSource(prefiller, err)
 	}
 	return err
 }
@@ -228,11 +143,12 @@
 }
 
 func (s *Server) pool(g *generation, role controlv1.Role) loads {
+	members := s.view.Members(controls.Pool{Serves: g.model.Name, Role: role})
 	name := endpoints.RolePrefill
 	if role == controlv1.Role_ROLE_DECODE {
 		name = endpoints.RoleDecode
 	}
-	return loads{members: s.view.Members(controls.Pool{Serves: g.model.Name, Role: role}), agents: s.agents, role: name}
+	return loads{members: g.preferred(members), agents: s.agents, role: name}
 }
 
 // prefill computes the prompt on the endpoint that grants a turn first.
@@ -258,8 +174,11 @@
 	}))
 	if err != nil {
 		s.agents.Release(p, at)
-		return nil, p, err
+		f := g.failed(p, err)
+		g.progress.Started = g.progress.Started || f.kind != attempt.NotRun
+		return nil, p, f
 	}
+	g.progress.Started = true
 	p.Observe(res.Msg.GetLoad())
 	computed := int(res.Msg.GetPromptTokens()) - int(res.Msg.GetCachedTokens())
 	s.delay(g.model.Name).observe(computed, time.Since(start))
@@ -292,12 +211,13 @@
 		Priority:     uint32(g.visit.caller.Priority),
 	}))
 	if err != nil {
-		return false, err
+		return false, g.failed(h.peer, err)
 	}
 	defer func() { _ = stream.Close() }()
 	imported := false
 	for stream.Receive() {
-		quiet.Reset(tokenSilence)
+		// A caller that reads slowly is not the agent's silence.
+		quiet.Stop()
 		m := stream.Msg()
 		imported = imported || m.GetImported()
 		h.peer.Observe(m.GetLoad())
@@ -305,11 +225,12 @@
 		if ended || err != nil {
 			return imported, err
 		}
+		quiet.Reset(tokenSilence)
 	}
 	if err := stream.Err(); err != nil {
-		return imported, err
+		return imported, g.failed(h.peer, err)
 	}
-	return imported, &failure{kind: attempt.Lost, cause: &UnfinishedError{Sent: g.progress.Sent}}
+	return imported, g.failed(h.peer, &UnfinishedError{Sent: g.progress.Sent})
 }
 
 // take relays one message of a decode stream. A token is sent only at its own
@@ -319,13 +240,13 @@
 		return false, nil
 	}
 	if m.GetEnd() {
-		return true, g.answer.End(m.GetFinishReason())
+		return true, unwritten(g.answer.End(m.GetFinishReason()))
 	}
 	if int(m.GetPosition()) != g.progress.Sent {
 		return false, &failure{kind: attempt.Lost, cause: &PositionError{Expected: g.progress.Sent, Got: int(m.GetPosition())}}
 	}
 	if err := g.answer.Token(m.GetToken()); err != nil {
-		return false, err
+		return false, unwritten(err)
 	}
 	g.progress.Sent++
 	return false, nil
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -96,7 +96,7 @@
 		go s.bid(ctx, g, at, c.members[i], bids)
 	}
 	asked := c.choice(g.number, picked, "")
-	won, err := firstGrant(bids, len(picked))
+	won, err := g.firstGrant(bids, len(picked))
 	if err == nil {
 		asked.Chosen = won.held.peer.Name
 		go s.releaseLosers(bids, len(picked), won, at)
@@ -112,14 +112,14 @@
 }
 
 // firstGrant returns the first grant, or the error that promises the most.
-func firstGrant(bids <-chan bid, n int) (grantedBid, error) {
+func (g *generation) firstGrant(bids <-chan bid, n int) (grantedBid, error) {
 	var best *failure
 	for i := range n {
 		b := <-bids
 		if b.err == nil {
 			return grantedBid{held: b.held, read: i + 1}, nil
 		}
-		f := failureOf(b.err)
+		f := g.failed(b.held.peer, b.err)
 		if best == nil || f.kind != attempt.Lost && f.retryAfter < best.retryAfter {
 			best = f
 		}
@@ -140,7 +140,7 @@
 func (s *Server) bid(ctx context.Context, g *generation, at *agentv1.Attempt, m *controlv1.Member, bids chan<- bid) {
 	p, err := s.agents.Peer(m)
 	if err != nil {
-		bids <- bid{err: err}
+		bids <- bid{held: held{peer: p}, err: err}
 		return
 	}
 	id, err := s.wait(ctx, g, at, p)
--- a/process/security.go
+++ b/process/security.go
@@ -43,3 +43,9 @@
 		Table:        t,
 	}, nil
 }
+
+// NewClient returns a client without connections, for calls whose connection
+// may have to be replaced.
+func (s *Security) NewClient() *http.Client {
+	return transport.NewSecureClient(s.Certificates)
+}
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -75,6 +75,19 @@
 	direct []netip.AddrPort
 }
 
+// keepFailed copies the logs and histories of a failed test to the folder that
+// PROOF_KEEP names.
+func keepFailed(t testing.TB, dir string) {
+	keep := os.Getenv("PROOF_KEEP")
+	if keep == "" || !t.Failed() {
+		return
+	}
+	to := filepath.Join(keep, filepath.Base(t.Name()))
+	if err := os.CopyFS(to, os.DirFS(dir)); err != nil {
+		t.Log(err)
+	}
+}
+
 // proxy names processes that are put behind a link when they start.
 func (c *cluster) proxy(names ...string) {
 	for _, n := range names {
@@ -112,7 +125,9 @@
 
 func newCluster(t testing.TB, environment string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir(), environment: environment, proxied: map[string]bool{}, links: map[string]*link{}}
+	dir := t.TempDir()
+	t.Cleanup(func() { keepFailed(t, dir) })
+	c := &cluster{t: t, dir: dir, environment: environment, proxied: map[string]bool{}, links: map[string]*link{}}
 	t.Cleanup(c.showLogs)
 	return c
 }
--- /dev/null
+++ b/proof/history_test.go
@@ -0,0 +1,219 @@
+package proof
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// callLimit bounds a call whose answer never comes.
+const callLimit = 30 * time.Second
+
+// callRecord is one line of the callers' history: one completion call and all
+// that its caller saw.
+type callRecord struct {
+	Start     time.Time
+	Entry     string
+	Prompt    string
+	MaxTokens int
+	Stream    bool
+	// Request is the id that the entry gave the call.
+	Request string
+	Status  int
+	// Code is that of a refusal or of an error event.
+	Code string
+	Text string
+	// Ends counts end markers, and AfterEnd the events after the first.
+	Ends     int
+	AfterEnd int
+	// Error is the caller's own error, as of a broken connection.
+	Error string
+	// Left is true where the caller itself went away.
+	Left bool
+	// Gap is the longest time between two events, Took that of the call.
+	Gap  time.Duration
+	Took time.Duration
+}
+
+// engineRecord is one line of a stand-in engine's history.
+type engineRecord struct {
+	Time    time.Time
+	Event   string
+	Request string
+	Tokens  int
+	Content string
+}
+
+// callHistory appends calls to a file of JSON lines.
+type callHistory struct {
+	t    *testing.T
+	path string
+	mu   sync.Mutex
+}
+
+func newCallHistory(c *cluster) *callHistory {
+	return &callHistory{t: c.t, path: filepath.Join(c.dir, "callers.history")}
+}
+
+func (h *callHistory) append(r callRecord) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f, err := os.OpenFile(h.path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		h.t.Error(err)
+		return
+	}
+	defer func() { _ = f.Close() }()
+	if err := json.NewEncoder(f).Encode(r); err != nil {
+		h.t.Error(err)
+	}
+}
+
+// calls reads the callers' history.
+func (h *callHistory) calls() []callRecord {
+	var out []callRecord
+	readLines(h.t, h.path, func(b []byte) {
+		var r callRecord
+		if err := json.Unmarshal(b, &r); err != nil {
+			h.t.Error(err)
+		}
+		out = append(out, r)
+	})
+	return out
+}
+
+// engineRecords reads the history of stand-in engines.
+func engineRecords(t *testing.T, engines ...*proc) []engineRecord {
+	var out []engineRecord
+	for _, e := range engines {
+		readLines(t, e.history, func(b []byte) {
+			var r engineRecord
+			// The last line of a killed process may be torn.
+			if json.Unmarshal(b, &r) == nil {
+				out = append(out, r)
+			}
+		})
+	}
+	return out
+}
+
+func readLines(t *testing.T, path string, take func([]byte)) {
+	f, err := os.Open(path)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer func() { _ = f.Close() }()
+	s := bufio.NewScanner(f)
+	s.Buffer(nil, 1<<20)
+	for s.Scan() {
+		take(s.Bytes())
+	}
+}
+
+// ask makes a completion call and appends it to the history.
+func (h *callHistory) ask(ctx context.Context, e *proc, prompt string, maxTokens int, stream bool) callRecord {
+	r := callRecord{Start: time.Now(), Entry: e.name, Prompt: prompt, MaxTokens: maxTokens, Stream: stream}
+	limited, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	if err := r.send(limited, e); err != nil {
+		r.Error = err.Error()
+	}
+	r.Took, r.Left = time.Since(r.Start), ctx.Err() != nil
+	h.append(r)
+	return r
+}
+
+func (r *callRecord) send(ctx context.Context, e *proc) error {
+	b, err := json.Marshal(completionBody{Model: "summariser", Prompt: r.Prompt, MaxTokens: r.MaxTokens, Stream: r.Stream})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.address.String()+"/v1/completions", bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer reading-room-key")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	r.Status, r.Request = res.StatusCode, res.Header.Get("X-Request-Id")
+	if !strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
+		return r.readWhole(res.Body)
+	}
+	return r.readEvents(res.Body)
+}
+
+// answerBody is the part of an answer, a chunk or a refusal that is checked.
+type answerBody struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Error struct {
+		Code string `json:"code"`
+	} `json:"error"`
+}
+
+func (r *callRecord) readWhole(body io.Reader) error {
+	b, err := io.ReadAll(body)
+	if err != nil {
+		return err
+	}
+	if err := r.take(b); err != nil {
+		return err
+	}
+	if r.Status == http.StatusOK {
+		r.Ends++
+	}
+	return nil
+}
+
+func (r *callRecord) take(b []byte) error {
+	var a answerBody
+	if err := json.Unmarshal(b, &a); err != nil {
+		return err
+	}
+	for _, c := range a.Choices {
+		r.Text += c.Text
+	}
+	if a.Error.Code != "" {
+		r.Code = a.Error.Code
+	}
+	return nil
+}
+
+// readEvents reads server-sent events to the end of the connection.
+func (r *callRecord) readEvents(body io.Reader) error {
+	last := time.Now()
+	s := bufio.NewScanner(body)
+	for s.Scan() {
+		data, ok := strings.CutPrefix(s.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		r.Gap, last = max(r.Gap, time.Since(last)), time.Now()
+		if r.Ends > 0 {
+			r.AfterEnd++
+		}
+		if data == "[DONE]" {
+			r.Ends++
+			continue
+		}
+		if err := r.take([]byte(data)); err != nil {
+			return err
+		}
+	}
+	return s.Err()
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -109,6 +109,8 @@
 	Event   string
 	Request string
 	Tokens  int
+	// Content is a hash of the prompt, in the record of a crash.
+	Content string `json:",omitempty"`
 }
 
 // note writes a line of history. It is called with mu held.
--- a/standin/engine/routes.go
+++ b/standin/engine/routes.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/dghubble/sling"
 
 	"ebonyreel/engines"
@@ -58,7 +59,8 @@
 		return
 	}
 	if strings.Contains(c.Prompt, prefillCrashMark) {
-		os.Exit(crashStatus)
+		e.mu.Lock()
+		e.die(c.Request, c.Prompt)
 	}
 	res, err := e.prefill(r.Context(), c)
 	if err != nil {
@@ -181,9 +183,18 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if q := e.sequences[request]; q != nil && strings.Contains(q.prompt, crashMark) {
-		e.note("Crash", request, 0)
-		os.Exit(crashStatus)
+		e.die(request, q.prompt)
+	}
+}
+
+// die ends the process and leaves the content to blame in the history. It is
+// called with mu held.
+func (e *engine) die(request, prompt string) {
+	content := strconv.FormatUint(xxhash.Sum64String(prompt), 16)
+	if e.history != nil {
+		_ = e.history.Encode(record{Time: time.Now(), Event: "Crash", Request: request, Content: content})
 	}
+	os.Exit(crashStatus)
 }
 
 func (e *engine) handleCancel(w http.ResponseWriter, r *http.Request) {
