Bound the endpoints that one content can crash

Cause: a content that crashes engines was counted by the entry alone, after the crash and for itself only; copies sent through several entries at the same moment ran on as many engines; those who shared a crashed engine were tried again together with the culprit; and a crashed engine was offered work for 3 s. Ruled out: placing every content by its hash, as it takes the choice by load away from all requests; counting strikes at control before each run of every request, as it costs a replicated write for each; refusing by a count, as innocents share crashes. Change: the agent that sees a crash reports all contents in flight to control before it answers any entry, and takes no work until the engine announces itself again. Copies of one content that are under way at the same time share two endpoints of a role: the agent to which the content hashes keeps a leased pin, asked in one small call after each grant where a pool has more than two members. A content in flight at a crash runs only alone: the reservation waits until the engine is empty, and control hands out one isolated run of a content at a time. A crash in it condemns the content, its end clears it; a condemned one is refused as not run. Figures: TestCrashingContent, 3 entries, 4 prefill and 4 decode engines, 18 sends of the culprit beside 12 innocents. Conclusion: holds while entries agree on the members of a pool; a member that leaves at the moment of a crash may cost one more.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -24,6 +24,7 @@
 
 // Agent is one agent. Its methods are safe for concurrent use.
 type Agent struct {
+	client    *controls.Client
 	announcer *controls.Announcer
 	view      *controls.View
 	log       *logrus.Entry
@@ -44,6 +45,9 @@
 	first  chan struct{}
 	joined sync.Once
 	calls  callLog
+	// suspects and pins outlive the engine.
+	suspects suspects
+	pins     pins
 	// base ends with the process.
 	base context.Context
 }
@@ -59,6 +63,10 @@
 	turns     *memory
 	canceller *canceller
 	inflight  inflight
+	// crashing guards the report of a crash; down is true from then on, until
+	// the engine announces itself again.
+	crashing sync.Mutex
+	down     atomic.Bool
 	// ready is true once nothing of an earlier agent is left at the endpoint.
 	ready atomic.Bool
 	// stop ends the goroutines of this endpoint.
@@ -66,8 +74,9 @@
 }
 
 // New returns an agent that knows no endpoint yet.
-func New(ctx context.Context, a *controls.Announcer, v *controls.View, t *traces.Tracer, log *logrus.Entry) *Agent {
+func New(ctx context.Context, c *controls.Client, a *controls.Announcer, v *controls.View, t *traces.Tracer, log *logrus.Entry) *Agent {
 	return &Agent{
+		client:    c,
 		announcer: a,
 		view:      v,
 		log:       log,
@@ -92,10 +101,12 @@
 	if old == nil || old.announcement.Instance != n.Instance {
 		a.endpoint = a.start(n)
 		if old != nil {
+			go a.crash(old)
 			old.stop()
 		}
 	}
 	a.endpoint.announcement = n
+	a.endpoint.down.Store(false)
 	a.announcer.Update(func(m *controlv1.Member) { describe(m, n) })
 }
 
@@ -110,7 +121,10 @@
 	}
 	e.engine = engines.NewClient(n.Address)
 	e.canceller = newCanceller(e.engine, a.log)
-	lapsed := func(t reservation.Attempt) { e.canceller.cancel(engineName(t), nil) }
+	lapsed := func(t reservation.Attempt) {
+		e.canceller.cancel(engineName(t), nil)
+		a.endIsolated(t, false)
+	}
 	e.memory = newMemory(n.MemoryPieces, max(n.PieceTokens, 1), lapsed)
 	e.turns = newMemory(prefillTurns, math.MaxInt32, lapsed)
 	go e.memory.run(ctx)
@@ -142,7 +156,7 @@
 func (a *Agent) current() *endpoint {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.endpoint == nil || time.Since(a.heard) > endpoints.Silence {
+	if a.endpoint == nil || a.endpoint.down.Load() || time.Since(a.heard) > endpoints.Silence {
 		return nil
 	}
 	return a.endpoint
--- a/agent/errors.go
+++ b/agent/errors.go
@@ -77,6 +77,17 @@
 	return "operation does not start again: " + e.Outcome.String()
 }
 
+// SuspectError reports a content that may run only alone, and that another
+// attempt runs, or that crashed an endpoint even so.
+type SuspectError struct {
+	Digest string
+}
+
+// Error names the content.
+func (e *SuspectError) Error() string {
+	return "content " + e.Digest + " was in flight when an endpoint crashed"
+}
+
 func duration(d time.Duration) *durationpb.Duration {
 	return durationpb.New(d)
 }
--- a/agent/generate.go
+++ b/agent/generate.go
@@ -23,6 +23,9 @@
 	importTimeout = 3 * time.Second
 	// probeTimeout bounds the look whether an engine is still there.
 	probeTimeout = 500 * time.Millisecond
+	// probes in a row that fail at once show an engine that has ended.
+	probes     = 3
+	probePause = 20 * time.Millisecond
 	// tokenRing bounds the tokens between the engine and a slow entry.
 	tokenRing = 256
 	// prefillTurns is the number of prompts that an engine computes at a time.
@@ -52,6 +55,7 @@
 	at := attemptOf(r.Msg.GetAttempt())
 	promises := e.promises()
 	ask := askOf(r.Msg, at)
+	ask.Isolated = r.Msg.GetIsolated() || a.struck(r.Msg.GetContentDigest())
 	if promises == e.turns {
 		ask.Lead = 0
 	}
@@ -64,7 +68,11 @@
 		promises.release(at)
 		return err
 	}
-	return a.await(ctx, promises, at, granted, out)
+	alone := ""
+	if ask.Isolated && promises == e.memory {
+		alone = r.Msg.GetContentDigest()
+	}
+	return a.await(ctx, e, promises, at, alone, granted, out)
 }
 
 func askOf(r *agentv1.ReserveRequest, at reservation.Attempt) reservation.Ask {
@@ -78,8 +86,9 @@
 	return ask
 }
 
-// await sends the grant once it is there, and heartbeats until then.
-func (a *Agent) await(ctx context.Context, m *memory, at reservation.Attempt, granted <-chan outcome, out *connect.ServerStream[agentv1.ReserveResponse]) error {
+// await sends the grant once it is there, and heartbeats until then. A content
+// that must run alone is named, and its run asked for, before the grant.
+func (a *Agent) await(ctx context.Context, e *endpoint, m *memory, at reservation.Attempt, alone string, granted <-chan outcome, out *connect.ServerStream[agentv1.ReserveResponse]) error {
 	beat := time.NewTicker(streamHeartbeat)
 	defer beat.Stop()
 	for {
@@ -93,11 +102,7 @@
 			if !o.granted {
 				return notRun(&reservation.FullError{RetryAfter: comeBack})
 			}
-			err := out.Send(&agentv1.ReserveResponse{Granted: true, Reservation: o.grant.ID, Load: a.load()})
-			if err != nil {
-				m.release(at)
-			}
-			return err
+			return a.promise(e, m, at, alone, o.grant.ID, out)
 		case <-beat.C:
 			if err := out.Send(&agentv1.ReserveResponse{}); err != nil {
 				m.release(at)
@@ -107,6 +112,28 @@
 	}
 }
 
+// promise passes a grant on.
+func (a *Agent) promise(e *endpoint, m *memory, at reservation.Attempt, alone string, id uint64, out *connect.ServerStream[agentv1.ReserveResponse]) error {
+	if alone != "" {
+		// An engine that has ended before must not be laid to this content.
+		if a.crashed(e) {
+			a.crash(e)
+			m.release(at)
+			return notRun(&DownError{})
+		}
+		if err := a.isolate(at, alone); err != nil {
+			m.release(at)
+			return notRun(err)
+		}
+	}
+	err := out.Send(&agentv1.ReserveResponse{Granted: true, Reservation: id, Load: a.load()})
+	if err != nil {
+		m.release(at)
+		a.endIsolated(at, false)
+	}
+	return err
+}
+
 // Prefill computes the KV cache of a prompt and exports it.
 func (a *Agent) Prefill(ctx context.Context, r *connect.Request[agentv1.PrefillRequest]) (*connect.Response[agentv1.PrefillResponse], error) {
 	e, err := a.acceptsRole(endpoints.RolePrefill)
@@ -126,7 +153,10 @@
 	ctx, span := a.tracer.Start(ctx, "Prefill")
 	defer span.End()
 	name := engineName(at)
-	defer e.inflight.begin(name, "")()
+	if a.struck(m.GetContentDigest()) && !m.GetIsolated() {
+		return nil, refusal(agentv1.Refusal_CODE_SUSPECT, &SuspectError{Digest: m.GetContentDigest()})
+	}
+	defer e.inflight.begin(name, work{digest: m.GetContentDigest(), isolated: m.GetIsolated()})()
 	res, err := e.engine.Prefill(ctx, engines.PrefillCall{
 		Request:  name,
 		Prompt:   m.GetPrompt(),
@@ -158,6 +188,7 @@
 		return refusal(agentv1.Refusal_CODE_NOT_RUN, err)
 	}
 	if a.crashed(e) {
+		a.crash(e)
 		return refusal(agentv1.Refusal_CODE_ENDPOINT_CRASHED, err)
 	}
 	return refusal(agentv1.Refusal_CODE_OUTCOME_UNKNOWN, err)
@@ -168,11 +199,17 @@
 func (a *Agent) crashed(e *endpoint) bool {
 	ctx, cancel := context.WithTimeout(a.base, probeTimeout)
 	defer cancel()
-	running, err := e.engine.Running(ctx)
-	if err == nil {
-		return running.Instance != e.announcement.Instance
+	for range probes {
+		running, err := e.engine.Running(ctx)
+		if err == nil {
+			return running.Instance != e.announcement.Instance
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		time.Sleep(probePause)
 	}
-	return ctx.Err() == nil
+	return true
 }
 
 // Decode imports a KV cache into promised memory and streams the tokens.
@@ -189,10 +226,17 @@
 	if err != nil {
 		return notRun(err)
 	}
+	isolated := a.suspects.isolated(at)
+	if a.struck(m.GetContentDigest()) && !isolated {
+		e.memory.release(at)
+		return refusal(agentv1.Refusal_CODE_SUSPECT, &SuspectError{Digest: m.GetContentDigest()})
+	}
 	a.working.Add(1)
 	defer a.working.Add(-1)
-	defer e.inflight.begin(engineName(at), "")()
-	if err := a.run(ctx, e, m, pieces, out); err != nil {
+	defer e.inflight.begin(engineName(at), work{digest: m.GetContentDigest(), isolated: isolated})()
+	err = a.run(ctx, e, m, pieces, out)
+	a.endIsolated(at, err == nil)
+	if err != nil {
 		e.canceller.cancel(engineName(at), func() { e.memory.release(at) })
 		return err
 	}
@@ -331,6 +375,7 @@
 		name := engineName(at)
 		e.turns.release(at)
 		e.inflight.drop(name)
+		a.endIsolated(at, false)
 		if e.inflight.runs(name) {
 			e.canceller.cancel(name, func() { e.memory.release(at) })
 		} else {
@@ -353,8 +398,12 @@
 	for _, t := range r.Msg.GetAttempts() {
 		attempts = append(attempts, attemptOf(t))
 	}
+	now, pinned := time.Now(), map[string]bool{}
+	for _, t := range attempts {
+		pinned[engineName(t)] = a.pins.renew(now, engineName(t))
+	}
 	for _, t := range e.turns.renew(e.memory.renew(attempts)) {
-		if e.inflight.renew(engineName(t), time.Now()) {
+		if e.inflight.renew(engineName(t), now) || pinned[engineName(t)] {
 			continue
 		}
 		out.Unknown = append(out.Unknown, &agentv1.Attempt{Request: t.Request, Number: t.Number, Entry: t.Entry})
@@ -362,6 +411,14 @@
 	return connect.NewResponse(out), nil
 }
 
+// Place keeps the copies of one content together.
+func (a *Agent) Place(_ context.Context, r *connect.Request[agentv1.PlaceRequest]) (*connect.Response[agentv1.PlaceResponse], error) {
+	m := r.Msg
+	name := engineName(attemptOf(m.GetAttempt()))
+	names := a.pins.place(time.Now(), m.GetContent(), name, m.GetCandidate(), m.GetFailed(), int(m.GetSpread()))
+	return connect.NewResponse(&agentv1.PlaceResponse{Agents: names}), nil
+}
+
 // Drain makes the agent leave.
 func (a *Agent) Drain(context.Context, *connect.Request[agentv1.DrainRequest]) (*connect.Response[agentv1.DrainResponse], error) {
 	a.Leave()
--- a/agent/inflight.go
+++ b/agent/inflight.go
@@ -13,22 +13,30 @@
 // safe for concurrent use.
 type inflight struct {
 	mu sync.Mutex
-	// running maps the engine's name of an attempt to the digest of its
-	// content, from before the engine is called until its answer has ended.
-	running map[string]string
+	// running maps the engine's name of an attempt to its work, from before
+	// the engine is called until its answer has ended.
+	running map[string]work
 	// exports holds the attempts whose KV cache waits for its import, under
 	// the leases of their entries.
 	exports lease.Table
 }
 
+// work is what one attempt runs.
+type work struct {
+	// digest is that of the content.
+	digest string
+	// isolated is true where nothing else runs beside it.
+	isolated bool
+}
+
 // begin accounts for an attempt until the returned function is called.
-func (f *inflight) begin(request, digest string) func() {
+func (f *inflight) begin(request string, w work) func() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.running == nil {
-		f.running = map[string]string{}
+		f.running = map[string]work{}
 	}
-	f.running[request] = digest
+	f.running[request] = w
 	return func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -78,12 +86,12 @@
 }
 
 // snapshot returns the attempts that are running.
-func (f *inflight) snapshot() map[string]bool {
+func (f *inflight) snapshot() map[string]work {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make(map[string]bool, len(f.running))
-	for r := range f.running {
-		out[r] = true
+	out := make(map[string]work, len(f.running))
+	for r, w := range f.running {
+		out[r] = w
 	}
 	return out
 }
--- a/agent/reconcile.go
+++ b/agent/reconcile.go
@@ -20,9 +20,13 @@
 	t := time.NewTicker(reconcileInterval)
 	defer t.Stop()
 	for {
+		a.pins.lapse(time.Now())
 		orphans, err := e.orphans(ctx)
 		if err != nil {
 			a.log.WithError(err).Warn("reconcile failed")
+			if a.crashed(e) {
+				a.crash(e)
+			}
 		}
 		for _, r := range orphans {
 			a.log.WithField("Request", r).Info("cancel a request that is not accounted for")
@@ -52,7 +56,7 @@
 	}
 	var out []string
 	for _, r := range append(held.Requests, held.Exports...) {
-		if !before[r] && !e.inflight.accounts(r, time.Now()) {
+		if _, ran := before[r]; !ran && !e.inflight.accounts(r, time.Now()) {
 			out = append(out, r)
 		}
 	}
--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -18,6 +18,8 @@
 	KvGone
 	// Refused means that waiting would be of no use to this caller.
 	Refused
+	// Suspect means that the content may run only alone; nothing ran.
+	Suspect
 	// CallerGone means that the caller's connection broke.
 	CallerGone
 )
@@ -36,7 +38,7 @@
 
 const (
 	// maxTries bounds the tries of one request.
-	maxTries = 6
+	maxTries = 8
 	// firstPause is the pause before the next try of what was not run; it
 	// doubles with each try.
 	firstPause = 50 * time.Millisecond
--- a/cmd/agent/command.go
+++ b/cmd/agent/command.go
@@ -71,7 +71,7 @@
 	view := controls.NewView(client, s.Environment, log)
 	view.LeaveOutCallers()
 	announcer := controls.NewAnnouncer(client, view, member(s), log)
-	a := agent.New(base, announcer, view, tracer, log)
+	a := agent.New(base, client, announcer, view, tracer, log)
 	go view.Run(base)
 	go join(base, a, announcer)
 	go followOrders(base, view, announcer, stop)
--- a/controls/view.go
+++ b/controls/view.go
@@ -58,7 +58,7 @@
 	members  map[string]*controlv1.Member
 	// pools indexes the members that take new work.
 	pools   map[Pool][]*controlv1.Member
-	strikes map[string]uint32
+	strikes map[string]*controlv1.Strikes
 	// changed is closed with each change.
 	changed chan struct{}
 }
@@ -72,7 +72,7 @@
 		at:          rand.IntN(max(1, len(c.peers))),
 		members:     map[string]*controlv1.Member{},
 		pools:       map[Pool][]*controlv1.Member{},
-		strikes:     map[string]uint32{},
+		strikes:     map[string]*controlv1.Strikes{},
 		changed:     make(chan struct{}),
 	}
 }
@@ -198,7 +198,7 @@
 	case *controlv1.Item_Member:
 		v.members[it.GetKey()] = k.Member
 	case *controlv1.Item_Strikes:
-		v.strikes[k.Strikes.GetContentDigest()] = k.Strikes.GetCount()
+		v.strikes[k.Strikes.GetContentDigest()] = k.Strikes
 	}
 }
 
@@ -307,7 +307,14 @@
 func (v *View) Strikes(digest string) uint32 {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	return v.strikes[digest]
+	return v.strikes[digest].GetCount()
+}
+
+// Condemned reports whether a content crashed an endpoint where it ran alone.
+func (v *View) Condemned(digest string) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.strikes[digest].GetCondemned()
 }
 
 // Changed returns a channel that is closed with the next change.
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -48,6 +48,10 @@
 	arrived time.Time
 	// avoided names the agents that failed this request; another is preferred.
 	avoided map[string]bool
+	// ends are called when the current try has ended.
+	ends []func()
+	// suspect is true once the content may run only alone.
+	suspect bool
 	// deadline is when the caller's patience ends; zero means never.
 	deadline time.Time
 }
@@ -81,6 +85,10 @@
 func (s *Server) try(ctx context.Context, g *generation) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if err := s.suspected(g); err != nil {
+		return err
+	}
+	defer g.end()
 	at := g.attempt(s.name)
 	if !s.policy.Reserves() {
 		return s.tryUnreserved(ctx, g, at)
@@ -108,6 +116,14 @@
 	return err
 }
 
+// end calls what ends with a try.
+func (g *generation) end() {
+	for _, f := range g.ends {
+		f()
+	}
+	g.ends = nil
+}
+
 // loads shows a pool of members to the placement policy.
 type loads struct {
 	members []*controlv1.Member
@@ -171,11 +187,13 @@
 		ResumePosition: uint32(g.progress.Sent),
 		Priority:       uint32(g.visit.caller.Priority),
 		Reservation:    turn.reservation,
+		ContentDigest:  g.digest,
+		Isolated:       g.suspect,
 	}))
 	if err != nil {
 		s.agents.Release(p, at)
 		f := g.failed(p, err)
-		g.progress.Started = g.progress.Started || f.kind != attempt.NotRun
+		g.progress.Started = g.progress.Started || f.kind != attempt.NotRun && f.kind != attempt.Suspect
 		return nil, p, f
 	}
 	g.progress.Started = true
@@ -200,15 +218,16 @@
 	quiet := time.AfterFunc(tokenSilence, cancel)
 	defer quiet.Stop()
 	stream, err := h.peer.Client.Decode(ctx, connect.NewRequest(&agentv1.DecodeRequest{
-		Attempt:      at,
-		Reservation:  h.reservation,
-		Kv:           kv,
-		Model:        g.model.Name,
-		Adapter:      g.call.Adapter,
-		Prompt:       g.call.Prompt,
-		FromPosition: uint32(g.progress.Sent),
-		MaxTokens:    uint32(g.maxTokens),
-		Priority:     uint32(g.visit.caller.Priority),
+		Attempt:       at,
+		Reservation:   h.reservation,
+		Kv:            kv,
+		Model:         g.model.Name,
+		Adapter:       g.call.Adapter,
+		Prompt:        g.call.Prompt,
+		FromPosition:  uint32(g.progress.Sent),
+		MaxTokens:     uint32(g.maxTokens),
+		Priority:      uint32(g.visit.caller.Priority),
+		ContentDigest: g.digest,
 	}))
 	if err != nil {
 		return false, g.failed(h.peer, err)
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -86,9 +86,29 @@
 	return held{peer: p}, err
 }
 
-// reserve asks a few agents for a promise and binds to the first that grants
-// it. The others are released.
+// reserve has a promise made by one of a few agents. Where copies of the content
+// are under way elsewhere, the promise is sought there.
 func (s *Server) reserve(ctx context.Context, g *generation, at *agentv1.Attempt, c loads, picked []int) (held, error) {
+	if g.suspect {
+		picked = picked[:1]
+	}
+	h, err := s.first(ctx, g, at, c, picked)
+	if err != nil {
+		return h, err
+	}
+	elsewhere, err := s.pin(ctx, g, at, c, h.peer.Name)
+	if err != nil || len(elsewhere) > 0 {
+		s.agents.Release(h.peer, at)
+	}
+	if err != nil || len(elsewhere) == 0 {
+		return h, err
+	}
+	return s.first(ctx, g, at, c, elsewhere)
+}
+
+// first asks a few agents for a promise and binds to the first that grants
+// it. The others are released.
+func (s *Server) first(ctx context.Context, g *generation, at *agentv1.Attempt, c loads, picked []int) (held, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	bids := make(chan bid, len(picked))
@@ -167,7 +187,7 @@
 		Lead:          durationpb.New(s.delay(g.model.Name).prefill(g.promptTokens)),
 		KvBytes:       uint64(g.promptTokens) * uint64(g.model.BytesPerToken),
 		ContentDigest: g.digest,
-		Isolated:      s.view.Strikes(g.digest) > 0,
+		Isolated:      g.suspect,
 		Caller:        g.visit.caller.Name,
 	}))
 	if err != nil {
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -57,7 +57,7 @@
 		if d.Strike {
 			s.strike(ctx, g)
 		}
-		if d.Action != attempt.Retry {
+		if d.Action != attempt.Retry || !g.waits(d.Pause) {
 			s.giveUp(g, d, err)
 			return
 		}
@@ -66,6 +66,11 @@
 	}
 }
 
+// waits reports whether the caller's patience outlasts a pause.
+func (g *generation) waits(d time.Duration) bool {
+	return d == 0 || g.deadline.IsZero() || time.Now().Add(d).Before(g.deadline)
+}
+
 // pause waits for a time or the end of the context.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -80,7 +85,7 @@
 func (s *Server) giveUp(g *generation, d attempt.Decision, err error) {
 	r := &callers.RefusalError{Code: callers.NotRun, Message: err.Error(), RetryAfter: d.RetryAfter}
 	switch {
-	case d.Action == attempt.Break:
+	case g.progress.Sent > 0:
 		r.Code = callers.Broken
 	case g.progress.Started:
 		r.Code = callers.OutcomeUnknown
@@ -107,10 +112,15 @@
 	if p == nil || g.visit.request.Context().Err() != nil {
 		return f
 	}
-	if f.kind == attempt.Lost {
+	switch f.kind {
+	case attempt.Lost:
 		p.Redial()
+	case attempt.KvGone:
+		return f
+	case attempt.Suspect, attempt.Crashed:
+		g.suspect = true
 	}
-	if f.kind != attempt.KvGone {
+	if f.kind != attempt.Suspect {
 		g.avoid(p)
 	}
 	return f
@@ -164,6 +174,7 @@
 		agentv1.Refusal_CODE_STALE:            attempt.NotRun,
 		agentv1.Refusal_CODE_ENDPOINT_CRASHED: attempt.Crashed,
 		agentv1.Refusal_CODE_KV_GONE:          attempt.KvGone,
+		agentv1.Refusal_CODE_SUSPECT:          attempt.Suspect,
 	}
 	k, ok := kinds[r.Code]
 	if !ok {
--- /dev/null
+++ b/proof/request_crash_test.go
@@ -0,0 +1,107 @@
+package proof
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// crashTarget is the number of endpoints that one content may crash in all.
+const crashTarget = 3
+
+// supervise starts engines again when they end, until the test does.
+func (f *fleet) supervise(pause time.Duration) {
+	for _, e := range f.engines() {
+		stop := make(chan struct{})
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			for {
+				select {
+				case <-stop:
+					return
+				case <-e.ended:
+				}
+				time.Sleep(pause)
+				select {
+				case <-stop:
+					return
+				default:
+					f.launch(e)
+				}
+			}
+		}()
+		f.t.Cleanup(func() {
+			close(stop)
+			<-ended
+		})
+	}
+}
+
+// TestCrashingContent sends one content that crashes the engines that run it
+// through every entry at the same moment, and again after its refusals, beside
+// innocent calls.
+func TestCrashingContent(t *testing.T) {
+	for _, mark := range []string{"CRASH-DECODE", "CRASH-PREFILL"} {
+		for s := range *seeds {
+			t.Run(mark, func(t *testing.T) {
+				t.Parallel()
+				crashingContent(t, mark, rand.New(rand.NewPCG(*seed+uint64(s), 3)))
+			})
+		}
+	}
+}
+
+func crashingContent(t *testing.T, mark string, random *rand.Rand) {
+	f := newFleet(t, 3, 4, 4, engineSettings{}, engineSettings{StepMicroseconds: 40_000})
+	f.supervise(time.Duration(200+random.IntN(600)) * time.Millisecond)
+	innocents := f.spread(12, 50, 40)
+	time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+	culprit := mark + " " + strings.Repeat("deed ", 50)
+	var all sync.WaitGroup
+	for _, e := range f.entries {
+		for range 2 {
+			all.Go(func() {
+				for range 3 {
+					f.history.ask(t.Context(), e, culprit, 40, true)
+				}
+			})
+		}
+	}
+	all.Wait()
+	innocents()
+	calls, seen := f.history.calls(), engineRecords(t, f.engines()...)
+	refused, answered := 0, 0
+	for _, r := range calls {
+		switch {
+		case r.Prompt == culprit && r.Ends > 0:
+			t.Error("the culprit was answered")
+		case r.Prompt != culprit && r.Ends > 0:
+			answered++
+		case r.Prompt != culprit:
+			refused++
+			t.Errorf("an innocent was not answered: %s", r.describe())
+		}
+	}
+	t.Logf("%s: %d crashes, %d innocents answered, %d refused", mark, crashes(seen), answered, refused)
+	report(t, checkWhole(calls), checkOneEnd(calls, nil), checkNotRun(calls, seen), checkCrashes(seen, crashTarget))
+	settled(t, f.engines()...)
+}
+
+func crashes(seen []engineRecord) int {
+	n := 0
+	for _, e := range seen {
+		if e.Event == "Crash" {
+			n++
+		}
+	}
+	return n
+}
+
+// describe names a call for a failure message.
+func (r callRecord) describe() string {
+	return fmt.Sprintf("request %s at %s: status %d, code %q, ends %d, error %q", r.Request, r.Entry, r.Status, r.Code, r.Ends, r.Error)
+}
--- a/proto/agent/v1/agentv1connect/agent.connect.go
+++ b/proto/agent/v1/agentv1connect/agent.connect.go
@@ -34,6 +34,8 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
+	// AgentServicePlaceProcedure is the fully-qualified name of the AgentService's Place RPC.
+	AgentServicePlaceProcedure = "/agent.v1.AgentService/Place"
 	// AgentServiceReserveProcedure is the fully-qualified name of the AgentService's Reserve RPC.
 	AgentServiceReserveProcedure = "/agent.v1.AgentService/Reserve"
 	// AgentServicePrefillProcedure is the fully-qualified name of the AgentService's Prefill RPC.
@@ -56,6 +58,7 @@
 
 // AgentServiceClient is a client for the agent.v1.AgentService service.
 type AgentServiceClient interface {
+	Place(context.Context, *connect.Request[v1.PlaceRequest]) (*connect.Response[v1.PlaceResponse], error)
 	Reserve(context.Context, *connect.Request[v1.ReserveRequest]) (*connect.ServerStreamForClient[v1.ReserveResponse], error)
 	Prefill(context.Context, *connect.Request[v1.PrefillRequest]) (*connect.Response[v1.PrefillResponse], error)
 	Decode(context.Context, *connect.Request[v1.DecodeRequest]) (*connect.ServerStreamForClient[v1.DecodeResponse], error)
@@ -78,6 +81,12 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	agentServiceMethods := v1.File_agent_v1_agent_proto.Services().ByName("AgentService").Methods()
 	return &agentServiceClient{
+		place: connect.NewClient[v1.PlaceRequest, v1.PlaceResponse](
+			httpClient,
+			baseURL+AgentServicePlaceProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("Place")),
+			connect.WithClientOptions(opts...),
+		),
 		reserve: connect.NewClient[v1.ReserveRequest, v1.ReserveResponse](
 			httpClient,
 			baseURL+AgentServiceReserveProcedure,
@@ -137,6 +146,7 @@
 
 // agentServiceClient implements AgentServiceClient.
 type agentServiceClient struct {
+	place   *connect.Client[v1.PlaceRequest, v1.PlaceResponse]
 	reserve *connect.Client[v1.ReserveRequest, v1.ReserveResponse]
 	prefill *connect.Client[v1.PrefillRequest, v1.PrefillResponse]
 	decode  *connect.Client[v1.DecodeRequest, v1.DecodeResponse]
@@ -148,6 +158,11 @@
 	status  *connect.Client[v1.StatusRequest, v1.StatusResponse]
 }
 
+// Place calls agent.v1.AgentService.Place.
+func (c *agentServiceClient) Place(ctx context.Context, req *connect.Request[v1.PlaceRequest]) (*connect.Response[v1.PlaceResponse], error) {
+	return c.place.CallUnary(ctx, req)
+}
+
 // Reserve calls agent.v1.AgentService.Reserve.
 func (c *agentServiceClient) Reserve(ctx context.Context, req *connect.Request[v1.ReserveRequest]) (*connect.ServerStreamForClient[v1.ReserveResponse], error) {
 	return c.reserve.CallServerStream(ctx, req)
@@ -195,6 +210,7 @@
 
 // AgentServiceHandler is an implementation of the agent.v1.AgentService service.
 type AgentServiceHandler interface {
+	Place(context.Context, *connect.Request[v1.PlaceRequest]) (*connect.Response[v1.PlaceResponse], error)
 	Reserve(context.Context, *connect.Request[v1.ReserveRequest], *connect.ServerStream[v1.ReserveResponse]) error
 	Prefill(context.Context, *connect.Request[v1.PrefillRequest]) (*connect.Response[v1.PrefillResponse], error)
 	Decode(context.Context, *connect.Request[v1.DecodeRequest], *connect.ServerStream[v1.DecodeResponse]) error
@@ -213,6 +229,12 @@
 // and JSON codecs. They also support gzip compression.
 func NewAgentServiceHandler(svc AgentServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	agentServiceMethods := v1.File_agent_v1_agent_proto.Services().ByName("AgentService").Methods()
+	agentServicePlaceHandler := connect.NewUnaryHandler(
+		AgentServicePlaceProcedure,
+		svc.Place,
+		connect.WithSchema(agentServiceMethods.ByName("Place")),
+		connect.WithHandlerOptions(opts...),
+	)
 	agentServiceReserveHandler := connect.NewServerStreamHandler(
 		AgentServiceReserveProcedure,
 		svc.Reserve,
@@ -269,6 +291,8 @@
 	)
 	return "/agent.v1.AgentService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
+		case AgentServicePlaceProcedure:
+			agentServicePlaceHandler.ServeHTTP(w, r)
 		case AgentServiceReserveProcedure:
 			agentServiceReserveHandler.ServeHTTP(w, r)
 		case AgentServicePrefillProcedure:
@@ -296,6 +320,10 @@
 // UnimplementedAgentServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedAgentServiceHandler struct{}
 
+func (UnimplementedAgentServiceHandler) Place(context.Context, *connect.Request[v1.PlaceRequest]) (*connect.Response[v1.PlaceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("agent.v1.AgentService.Place is not implemented"))
+}
+
 func (UnimplementedAgentServiceHandler) Reserve(context.Context, *connect.Request[v1.ReserveRequest], *connect.ServerStream[v1.ReserveResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("agent.v1.AgentService.Reserve is not implemented"))
 }
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -31,6 +31,8 @@
 	Attempt Attempt
 	// Tokens is the prompt and the longest answer together.
 	Tokens int
+	// Isolated asks for the whole engine: nobody else holds memory meanwhile.
+	Isolated bool
 	// Priority is higher for work that goes first.
 	Priority int
 	// Deadline is when waiting has no more use; zero means never.
@@ -129,6 +131,8 @@
 	// lead is the running average of the requests' leads: with each its own,
 	// long prompts would go before short ones.
 	lead time.Duration
+	// draining is the waiting request that wants the engine for itself, or nil.
+	draining *request
 	// leaving is true once no new request is taken.
 	leaving bool
 }
@@ -235,7 +239,7 @@
 func (t *Table) grant(now time.Time) []Grant {
 	t.queue.expire(now)
 	var out []Grant
-	for r := t.queue.next(); r != nil && t.fits(r); r = t.queue.next() {
+	for r := t.next(); r != nil && t.fits(r); r = t.next() {
 		t.queue.take(r)
 		delete(t.waiting, r.ask.Attempt.Request)
 		t.nextID++
@@ -255,7 +259,7 @@
 	if t.stay > 0 {
 		ahead = aheadShare * float64(t.placed) * float64(t.lead) / float64(t.stay)
 	}
-	return t.promised+r.pieces <= t.pieces+int(ahead)
+	return t.isolates(r) && t.promised+r.pieces <= t.pieces+int(ahead)
 }
 
 // Place asks for the memory of a promise: its KV cache is there. The grant
