--- a/proof/request_test.go
+++ b/proof/request_test.go
@@ -139,6 +139,11 @@
 			time.Sleep(memoryTarget)
 			f.entries[0].thaw()
 		}},
+		{name: "all decode agents killed at prefill", stage: "prefill", lost: true, fail: func(f *fleet, _ int) {
+			for _, a := range f.decodes {
+				a.kill()
+			}
+		}},
 		{name: "all decode engines killed", lost: true, fail: func(f *fleet, i int) {
 			for _, e := range f.decoded {
 				e.kill()
