Let prefill last long enough to fail in it

Cause: with the note that a prefill has started taken out, TestRequestSurvives still passed: prefills took 0.25 s and had ended before the failure came. Ruled out: a later check, as the histories have all that is needed. Change: the cases at prefill compute 100 tokens per second in place of 500.

--- a/proof/request_test.go
+++ b/proof/request_test.go
@@ -169,7 +169,7 @@
 func requestSurvives(t *testing.T, k requestCase, random *rand.Rand) {
 	prefill, decode := engineSettings{}, engineSettings{StepMicroseconds: 60_000}
 	if k.stage == "prefill" {
-		prefill.PrefillTokensPerSecond = 500
+		prefill.PrefillTokensPerSecond = 100
 	}
 	f := newFleet(t, 2, 2, 2, prefill, decode)
 	wait := f.spread(6, 100, 40)
