Let the histories of requests be kept by benchmarks too

Cause: the harness of the tests serves benchmarks now, and the histories of requests asked for a test. Ruled out: nothing else was at hand. Change: they take either. Conclusion: no change of what is checked.

--- a/proof/checkers_test.go
+++ b/proof/checkers_test.go
@@ -98,7 +98,7 @@
 }
 
 // report fails a test with what checkers found.
-func report(t *testing.T, found ...[]violation) {
+func report(t testing.TB, found ...[]violation) {
 	t.Helper()
 	for _, all := range found {
 		for _, v := range all {
@@ -108,7 +108,7 @@
 }
 
 // settled checks that after a quiet time no engine that runs holds anything.
-func settled(t *testing.T, all ...*proc) {
+func settled(t testing.TB, all ...*proc) {
 	t.Helper()
 	for _, e := range all {
 		if !answersNow(e) {
--- a/proof/history_test.go
+++ b/proof/history_test.go
@@ -55,7 +55,7 @@
 
 // callHistory appends calls to a file of JSON lines.
 type callHistory struct {
-	t    *testing.T
+	t    testing.TB
 	path string
 	mu   sync.Mutex
 }
@@ -92,7 +92,7 @@
 }
 
 // engineRecords reads the history of stand-in engines.
-func engineRecords(t *testing.T, engines ...*proc) []engineRecord {
+func engineRecords(t testing.TB, engines ...*proc) []engineRecord {
 	var out []engineRecord
 	for _, e := range engines {
 		readLines(t, e.history, func(b []byte) {
@@ -106,7 +106,7 @@
 	return out
 }
 
-func readLines(t *testing.T, path string, take func([]byte)) {
+func readLines(t testing.TB, path string, take func([]byte)) {
 	f, err := os.Open(path)
 	if err != nil {
 		t.Error(err)
--- a/proof/memory_test.go
+++ b/proof/memory_test.go
@@ -126,7 +126,7 @@
 }
 
 // holds counts what an engine runs and holds, asked past any link.
-func holds(t *testing.T, engine *proc) int {
+func holds(t testing.TB, engine *proc) int {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
