Leave out security settings that are not set

Ruled out: reading null as an empty list, as a null is not what the format names.

Change: Security is left out of written settings when it is zero.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -27,7 +27,7 @@
 	// TraceFile receives spans as JSON lines; empty means none.
 	TraceFile string
 	// Security is towards the other processes and operators.
-	Security Security
+	Security Security `json:",omitzero"`
 	// CallersCertificateFile and CallersPrivateKeyFile hold PEM for the
 	// address for callers; both are set, or none for plain HTTP.
 	CallersCertificateFile string
@@ -54,7 +54,7 @@
 	Controls  []netip.AddrPort
 	TraceFile string
 	// Security is towards the other processes and operators.
-	Security Security
+	Security Security `json:",omitzero"`
 }
 
 // Control is the settings of a control process.
@@ -75,7 +75,7 @@
 	// yet, the first one begins it.
 	Cluster []ControlHost
 	// Security is towards the other processes and operators.
-	Security Security
+	Security Security `json:",omitzero"`
 }
 
 // ControlHost is one of the control hosts.
