Start a stalled transfer again while the result lives

Ruled out: one short timeout; a slow link would never be served. Change: the first try has 250 ms, each further one twice as long, up to the old bound.

--- a/agent/generate.go
+++ b/agent/generate.go
@@ -19,8 +19,10 @@
 const (
 	// streamHeartbeat is the longest silence on a stream to an entry.
 	streamHeartbeat = time.Second
-	// importTimeout bounds the transfer of a KV cache.
+	// importTimeout bounds the transfer of a KV cache, and firstTransfer its
+	// first try.
 	importTimeout = 3 * time.Second
+	firstTransfer = 250 * time.Millisecond
 	// probeTimeout bounds the look whether an engine is still there.
 	probeTimeout = 500 * time.Millisecond
 	// probes in a row that fail at once show an engine that has ended.
@@ -273,8 +275,9 @@
 	return notRun(err)
 }
 
-// importKv fetches the KV cache. The prefill engine says 404 or 410 when the
-// export is gone.
+// importKv fetches the KV cache. A transfer that makes no end is given up and
+// started again, with more time, as long as the cache may still be there. The
+// prefill engine says 404 or 410 when it is gone.
 func (a *Agent) importKv(ctx context.Context, e *endpoint, m *agentv1.DecodeRequest, pieces int) error {
 	ctx, span := a.tracer.Start(ctx, "Transfer")
 	defer span.End()
@@ -282,22 +285,32 @@
 	if err != nil {
 		return notRun(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, importTimeout)
-	defer cancel()
-	err = e.engine.Import(ctx, engines.ImportCall{
+	call := engines.ImportCall{
 		Request: engineName(attemptOf(m.GetAttempt())), From: from, Handle: m.GetKv().GetHandle(), Pieces: pieces,
-	})
+	}
+	for timeout := firstTransfer; ; timeout *= 2 {
+		err = importOnce(ctx, e, call, min(timeout, importTimeout))
+		if !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil || timeout >= importTimeout {
+			break
+		}
+	}
 	if err == nil {
 		return nil
 	}
 	var status *engines.StatusError
 	gone := errors.As(err, &status) && (status.Status == http.StatusGone || status.Status == http.StatusNotFound)
-	if gone || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if gone || errors.Is(err, context.DeadlineExceeded) {
 		return refusal(agentv1.Refusal_CODE_KV_GONE, err)
 	}
 	return a.broken(e, err)
 }
 
+func importOnce(ctx context.Context, e *endpoint, c engines.ImportCall, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return e.engine.Import(ctx, c)
+}
+
 // relay passes tokens on, and heartbeats while there are none.
 func (a *Agent) relay(ctx context.Context, e *endpoint, m *agentv1.DecodeRequest, out *connect.ServerStream[agentv1.DecodeResponse]) error {
 	ctx, cancel := context.WithCancel(ctx)
