Keep the stand-in engines to their own speed

Cause: a decode step began only after a sleep that lasts longer than asked, so that an engine was slower than its settings and the bound too high. Ruled out: lowering the bound; the settings say what the engine is. Change: steps follow a schedule, at most 5 ms behind it. The hot-prefix case shares 1,000 tokens, as 400 were fewer than what chooses the endpoint.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -94,7 +94,7 @@
  "CancelPercent": $CANCEL, "GiveUpSeconds": 30,
  "Streams": [
   {"Name": "answers", "Key": "$KEY", "CapacityShare": $SHARE, "Model": "$MODEL", "PromptTokens": $PROMPTS,
-   "MaxTokens": 256, "SharedPercent": $SHARED, "SharedTokens": 400},
+   "MaxTokens": 256, "SharedPercent": $SHARED, "SharedTokens": 1000},
   {"Name": "bookings", "Key": "$KEY", "RatePerSecond": 5, "Method": "POST", "Path": "/services/$SERVICE/$BOOKING", "Keyed": true},
   {"Name": "lookups", "Key": "$LOOKUP_KEY", "RatePerSecond": $((LOOKUP_RATE * LOOKUPS)), "Method": "GET",
    "Path": "/services/$SERVICE/$LOOKUP", "DeadlineMilliseconds": $DEADLINE}$BURST]}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -22,7 +22,9 @@
 	// linkChunksPerSecond sets the size of the chunks of a transfer, which is
 	// also what an idle link may send at once.
 	linkChunksPerSecond = 100
-	fileMode            = 0o640
+	// maxCatchUp is how far behind its schedule an engine may be.
+	maxCatchUp = 5 * time.Millisecond
+	fileMode   = 0o640
 )
 
 // engine is the whole state of the stand-in.
@@ -234,10 +236,16 @@
 	}
 }
 
-// batches makes one token for each running request at each step.
+// batches makes one token for each running request at each step. A sleep that
+// lasted too long shortens the next one, but no step is made up for.
 func (e *engine) batches(ctx context.Context) {
+	next := time.Now()
 	for ctx.Err() == nil {
-		time.Sleep(e.step())
+		if now := time.Now(); next.Before(now.Add(-maxCatchUp)) {
+			next = now
+		}
+		next = next.Add(e.step())
+		time.Sleep(time.Until(next))
 	}
 }
 
