Compare the router with direct calls in the bench

Cause: what the router adds to the first token was not measured. Ruled out: comparing runs; the engines' own times differ too much. Conclusion: the load tool can now say it.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -9,7 +9,7 @@
 # shellcheck source=scripts/cluster.sh
 . scripts/cluster.sh
 
-CASES=${CASE:-0.7 1.0 1.3 0.7-faults 1.0-faults 1.3-faults burst hot-prefix lookups}
+CASES=${CASE:-0.7 1.0 1.3 0.7-faults 1.0-faults 1.3-faults burst hot-prefix lookups direct}
 DEPLOYMENTS=${DEPLOYMENT:-Archive Qantara}
 POLICIES=${POLICY:-reserve round-robin least-loaded}
 SEEDS_RUN=${SEED:-1 2 3}
@@ -42,7 +42,7 @@
 
 # cases NAME sets what a case changes.
 cases() {
-  SHARE=1.0 CANCEL=0 STALL=0 DEATHS=0 SHARED=0 BURST="" LOOKUPS=1
+  SHARE=1.0 CANCEL=0 STALL=0 DEATHS=0 SHARED=0 BURST="" LOOKUPS=1 RATE=0 OUTPUT=256
   case $1 in
   *-faults) CANCEL=5 STALL=2 DEATHS=1 SHARE=${1%-faults} ;;
   burst)
@@ -50,6 +50,9 @@
     BURST=", {\"Name\": \"burst\", \"Key\": \"$KEY\", \"Model\": \"$MODEL\", \"PromptTokens\": $PROMPTS, \"MaxTokens\": 256, \"CapacityShare\": 1.3, \"FromSeconds\": 6, \"ToSeconds\": 8}" ;;
   hot-prefix) SHARED=60 ;;
   lookups) LOOKUPS=10 ;;
+  direct)
+    RATE=50 PROMPTS="[100, 100]" OUTPUT=16
+    BURST=", {\"Name\": \"direct\", \"Direct\": true, \"Model\": \"$MODEL\", \"PromptTokens\": $PROMPTS, \"MaxTokens\": 16, \"RatePerSecond\": 50}" ;;
   *) SHARE=$1 ;;
   esac
 }
@@ -60,7 +63,7 @@
   local i speed="\"PieceTokens\": $PIECE_TOKENS, \"PrefillTokensPerSecond\": $PREFILL_SPEED,
     \"StepMicroseconds\": $STEP, \"StepPerRequestMicroseconds\": $STEP_PER_REQUEST, \"LinkBytesPerSecond\": $LINK,
     \"BytesPerToken\": $BYTES_PER_TOKEN, \"MemoryPieces\": $PIECES, \"StallPercent\": $STALL"
-  PIDS=() CONTROLS=() ENTRIES=() ENGINES=() ROUTER=() READY=()
+  PIDS=() CONTROLS=() ENTRIES=() ENGINES=() DECODERS=() ROUTER=() READY=()
   start_control control-0 "$(domain 0)"
   sleep 0.3
   for i in 0 1; do
@@ -73,7 +76,7 @@
   done
   for i in $(seq "$DECODES" -1 1); do
     start_engine "decode-$i" "$ENVIRONMENT" "$(domain "$i")" Decode "$MODEL" ", $speed"
-    ROUTER+=("${PIDS[-2]}") VICTIM=${PIDS[-1]}
+    DECODERS+=("127.0.0.1:$PORT") ROUTER+=("${PIDS[-2]}") VICTIM=${PIDS[-1]}
   done
   for i in $(seq "$SERVICES"); do start_service "service-$i" "$ENVIRONMENT" "$(domain "$i")" "$SERVICE"; done
   sed "s/\"Prefill\": [0-9]*/\"Prefill\": $PREFILLS/; s/\"Decode\": [0-9]*/\"Decode\": $DECODES/" "$DOCUMENT" >"$RUN/document"
@@ -86,6 +89,7 @@
   local IFS=,
   cat >"$RUN/plan" <<JSON
 {"Deployment": "$1", "Entries": [$(quoted "${ENTRIES[@]}")], "PrefillEngines": [$(quoted "${ENGINES[@]}")],
+ "DecodeEngines": [$(quoted "${DECODERS[@]}")],
  "RouterProcesses": [${ROUTER[*]}], "Seconds": $SECONDS_SENT, "WarmupSeconds": $WARMUP, "CooldownSeconds": $COOLDOWN,
  "Capacity": {"PrefillEngines": $PREFILLS, "DecodeEngines": $DECODES, "PrefillTokensPerSecond": $PREFILL_SPEED,
   "MemoryPieces": $PIECES, "PieceTokens": $PIECE_TOKENS, "StepMicroseconds": $STEP,
@@ -93,8 +97,8 @@
  "FirstTokenMilliseconds": 330, "BetweenTokensMilliseconds": 29, "PrefillTokensPerSecond": $PREFILL_SPEED,
  "CancelPercent": $CANCEL, "GiveUpSeconds": 30,
  "Streams": [
-  {"Name": "answers", "Key": "$KEY", "CapacityShare": $SHARE, "Model": "$MODEL", "PromptTokens": $PROMPTS,
-   "MaxTokens": 256, "SharedPercent": $SHARED, "SharedTokens": 1000},
+  {"Name": "answers", "Key": "$KEY", "CapacityShare": $SHARE, "RatePerSecond": $RATE, "Model": "$MODEL", "PromptTokens": $PROMPTS,
+   "MaxTokens": $OUTPUT, "SharedPercent": $SHARED, "SharedTokens": 1000},
   {"Name": "bookings", "Key": "$KEY", "RatePerSecond": 5, "Method": "POST", "Path": "/services/$SERVICE/$BOOKING", "Keyed": true},
   {"Name": "lookups", "Key": "$LOOKUP_KEY", "RatePerSecond": $((LOOKUP_RATE * LOOKUPS)), "Method": "GET",
    "Path": "/services/$SERVICE/$LOOKUP", "DeadlineMilliseconds": $DEADLINE}$BURST]}
--- a/standin/load/call.go
+++ b/standin/load/call.go
@@ -49,6 +49,9 @@
 	// hangUp is after how many tokens the caller goes away; zero is never.
 	hangUp int
 	sent   time.Time
+	// prefillEngine and decodeEngine are set for direct calls.
+	prefillEngine netip.AddrPort
+	decodeEngine  netip.AddrPort
 }
 
 const (
@@ -64,6 +67,10 @@
 	if s.Model == "" {
 		return c
 	}
+	if s.Direct {
+		c.prefillEngine = r.plan.PrefillEngines[n%len(r.plan.PrefillEngines)]
+		c.decodeEngine = r.plan.DecodeEngines[n%len(r.plan.DecodeEngines)]
+	}
 	size := s.PromptTokens[0] + random.IntN(max(1, s.PromptTokens[1]-s.PromptTokens[0]))
 	shared := 0
 	if random.IntN(percent) < s.SharedPercent {
@@ -103,6 +110,9 @@
 	if c.stream.Model == "" {
 		return c.plain()
 	}
+	if c.stream.Direct {
+		return c.direct()
+	}
 	return c.complete()
 }
 
--- a/standin/load/plan.go
+++ b/standin/load/plan.go
@@ -21,6 +21,8 @@
 	Capacity Capacity
 	// PrefillEngines are asked for their counters when all calls have ended.
 	PrefillEngines []netip.AddrPort
+	// DecodeEngines are called by direct streams.
+	DecodeEngines []netip.AddrPort
 	// RouterProcesses are process ids whose processor time is counted.
 	RouterProcesses []int
 	Streams         []Stream
@@ -58,6 +60,8 @@
 	SharedPercent int
 	MaxTokens     int
 	Whole         bool
+	// Direct completions call the engines without the router.
+	Direct bool
 	// Method and Path are set for calls of plain services.
 	Method string
 	Path   string
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -3,10 +3,13 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ebonyreel/engines"
 )
 
 const (
@@ -25,6 +28,8 @@
 	mu sync.Mutex
 	// tallies is keyed by stream name.
 	tallies map[string]*tally
+	// engines are called by direct streams only.
+	engines map[netip.AddrPort]*engines.Client
 	// shown is how many answers may still be printed.
 	shown int
 	// lostCalls counts calls without a whole answer or an honest refusal, and
@@ -63,6 +68,7 @@
 func newRun(p Plan, seed uint64, show int) *run {
 	t := &http.Transport{MaxIdleConnsPerHost: idleConnections, MaxIdleConns: idleConnections}
 	r := &run{plan: p, seed: seed, http: &http.Client{Transport: t}, tallies: map[string]*tally{}, shown: show}
+	r.engines = map[netip.AddrPort]*engines.Client{}
 	for _, s := range p.Streams {
 		r.tallies[s.Name] = newTally()
 	}
@@ -107,6 +113,16 @@
 	wg.Wait()
 }
 
+// engine returns the client of one engine.
+func (r *run) engine(a netip.AddrPort) *engines.Client {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.engines[a] == nil {
+		r.engines[a] = engines.NewClient(a)
+	}
+	return r.engines[a]
+}
+
 // note counts what came of one call.
 func (r *run) note(s Stream, o outcome, counted bool) {
 	r.mu.Lock()
