Ask four decode endpoints for memory

Ruled out: asking all; the cost would grow with the endpoints. Change: all four sampled endpoints are asked.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -68,10 +68,8 @@
 }
 
 const (
-	// samples is the number of endpoints looked at for one request.
+	// samples is the number of endpoints asked for one request.
 	samples = 4
-	// asked is the number of endpoints asked for memory at once.
-	asked = 2
 	// crowded is the prefill queue at which locality gives way to load.
 	crowded = 3
 )
@@ -89,7 +87,7 @@
 func (reserve) Decode(c Candidates) []int {
 	picked := sample(c.Len(), samples)
 	sortByLoad(c, picked)
-	return picked[:min(asked, len(picked))]
+	return picked
 }
 
 // Reserves is true.
