Promise a little more ahead

Cause: a turn at a prefill engine is waited for too, so that memory promised for the prefill's own time came free before it was needed. Ruled out: nothing else was tried. Change: 1.1 instead of 0.8 of what is expected back is promised.

--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -16,7 +16,7 @@
 	smoothing = 0.1
 	// aheadShare is how much of the memory that is expected to be given back
 	// is promised ahead.
-	aheadShare = 0.8
+	aheadShare = 1.1
 )
 
 // Attempt names one try of one request.
