--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 PROGRAMS := entry agent control ebonyreel
-STANDINS := engine service weightstore load members
+STANDINS := engine service weightstore load members plot
 MODULES  := . proof $(PROGRAMS:%=cmd/%) $(STANDINS:%=standin/%)
 PACKAGES := $(MODULES:%=./%/...)
 # Tests that start programs. They run each time: the go tool's cached results
--- /dev/null
+++ b/standin/plot/main.go
@@ -0,0 +1,75 @@
+// Command plot reads the JSON lines of bench runs, draws goodput and wasted
+// prefill over load as an SVG, and prints a table of medians and ranges.
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"log"
+	"os"
+)
+
+// Line is one run of the bench.
+type Line struct {
+	Case          string
+	Deployment    string
+	Policy        string
+	Seed          uint64
+	Refused       int
+	Lost          int
+	Bound         float64
+	Goodput       float64
+	OfBound       float64
+	WastedPrefill float64
+	FirstTokenP95 float64
+	// BetweenTokensP95 is in milliseconds, as FirstTokenP95 is.
+	BetweenTokensP95 float64
+	Late             float64
+	// RouterMicrosecondsPerToken is processor time of the router's processes.
+	RouterMicrosecondsPerToken float64
+}
+
+func main() {
+	out := flag.String("svg", "", "file for the plot; empty means none")
+	flag.Parse()
+	if err := run(*out, flag.Args()); err != nil {
+		log.Fatal(err)
+	}
+}
+
+func run(out string, files []string) error {
+	var lines []Line
+	for _, f := range files {
+		l, err := read(f)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, l...)
+	}
+	groups := group(lines)
+	fmt.Print(table(groups))
+	if out == "" {
+		return nil
+	}
+	return drawFile(out, drawRows(groups))
+}
+
+func read(file string) ([]Line, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	var out []Line
+	s := bufio.NewScanner(f)
+	for s.Scan() {
+		var l Line
+		if err := json.Unmarshal(s.Bytes(), &l); err != nil {
+			return nil, fmt.Errorf("%s: %w", file, err)
+		}
+		out = append(out, l)
+	}
+	return out, s.Err()
+}
