--- a/standin/load/call.go
+++ b/standin/load/call.go
@@ -30,11 +30,14 @@
 
 // outcome is what came of a call, and when its tokens came.
 type outcome struct {
-	kind  kind
-	good  bool
-	late  bool
-	first time.Duration
-	gaps  []time.Duration
+	kind kind
+	good bool
+	late bool
+	// lateFirst and lateBetween are targets missed.
+	lateFirst   bool
+	lateBetween bool
+	first       time.Duration
+	gaps        []time.Duration
 	// retryAfter is when a refusal says to come back.
 	retryAfter time.Duration
 }
@@ -248,7 +251,9 @@
 		total += g
 	}
 	mean := total.Seconds() / float64(max(1, len(o.gaps)))
-	o.good = o.first.Seconds() <= first && mean <= p.BetweenTokensMilliseconds/1000
+	o.lateFirst = o.first.Seconds() > first
+	o.lateBetween = mean > p.BetweenTokensMilliseconds/1000
+	o.good = !o.lateFirst && !o.lateBetween
 	return o
 }
 
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -23,8 +23,11 @@
 	OfBound float64
 	// WastedPrefill is a share of all prefill work.
 	WastedPrefill float64
-	Refused       int
-	Lost          int
+	// LateFirst and LateBetween are whole answers that missed a target.
+	LateFirst   int
+	LateBetween int
+	Refused     int
+	Lost        int
 	// FirstTokenP95 and BetweenTokensP95 are in milliseconds.
 	FirstTokenP95    float64
 	BetweenTokensP95 float64
@@ -60,6 +63,8 @@
 		out.Bound = max(out.Bound, r.plan.Capacity.bound(s))
 		out.Offered += t.Offered
 		out.Refused += t.Refused
+		out.LateFirst += t.LateFirst
+		out.LateBetween += t.LateBetween
 		out.Goodput += float64(t.Good) / r.plan.counted()
 		all.firstToken.Merge(t.firstToken)
 		all.betweenTokens.Merge(t.betweenTokens)
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -45,9 +45,12 @@
 	Offered int
 	Whole   int
 	// Good is the whole answers within both targets.
-	Good      int
-	Refused   int
-	Cancelled int
+	Good int
+	// LateFirst and LateBetween are whole answers that missed a target.
+	LateFirst   int
+	LateBetween int
+	Refused     int
+	Cancelled   int
 	// Broken ended with an error event or without an end.
 	Broken int
 	// Wrong had another text than its own.
@@ -145,6 +148,12 @@
 		if o.late {
 			t.Late++
 		}
+		if o.lateFirst {
+			t.LateFirst++
+		}
+		if o.lateBetween {
+			t.LateBetween++
+		}
 	case refused:
 		t.Refused++
 	case cancelled:
