--- a/standin/plot/draw.go
+++ b/standin/plot/draw.go
@@ -18,6 +18,8 @@
 	width  = 22 * vg.Centimeter
 	height = 16 * vg.Centimeter
 	pad    = 4 * vg.Millimeter
+	// legendRoom stretches the vertical axis, so that no line meets the legend.
+	legendRoom = 1.4
 )
 
 // panel is one of the two figures drawn for each deployment.
@@ -70,6 +72,7 @@
 		out.Add(line, marks)
 		out.Legend.Add(name, line, marks)
 	}
+	out.Y.Max *= legendRoom
 	return out
 }
 
