Run what the stand-ins offer, and let a decode stream be resumed

The engine refused a second decode call for a request whose first reader had gone.

Ruled out: leaving a detached request idle until it is cancelled (tried first: TestRequestSurvives, decode agent killed, failed with "not within 5s: nothing held after quiet", as nobody is left to cancel it); an agent beside the engine in this test, as it rightly cancels what it did not ask for.

Change: a reader that goes away is detached at once; the request is decoded to its end or cancelled, and can be resumed at a position until then. TestStandInEngine and TestWeightStore run the rest; the path test asks for a whole chat answer too.

--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -61,6 +61,7 @@
 		t.Error("the answer has no request id")
 	}
 	checkChat(ctx, t, e)
+	checkWholeChat(ctx, t, e)
 	for range 2 {
 		r = call(ctx, e, http.MethodPost, "/services/request-desk/holds", "reading-room-key", "hold-1", `{"Folio":7}`)
 		if r.status != http.StatusOK || !strings.Contains(r.body, `"Runs":1`) {
@@ -77,6 +78,17 @@
 	}
 }
 
+// checkWholeChat asks for a chat answer in one piece.
+func checkWholeChat(ctx context.Context, t *testing.T, e *proc) {
+	t.Helper()
+	const chat = `{"model":"summariser","max_tokens":20,"messages":[{"role":"user","content":"summarise the deed"}]}`
+	r := call(ctx, e, http.MethodPost, "/v1/chat/completions", "reading-room-key", "", chat)
+	want, _ := tokens.Answer("user: summarise the deed\n", 20)
+	if r.status != http.StatusOK || !strings.Contains(r.body, `"message":{"role":"assistant","content":"`+want) {
+		t.Fatalf("whole chat: status %d, error %v, body %s", r.status, r.err, r.body)
+	}
+}
+
 // checkChat asks for a streamed chat answer and reads its events.
 func checkChat(ctx context.Context, t *testing.T, e *proc) {
 	t.Helper()
--- /dev/null
+++ b/proof/standin_test.go
@@ -0,0 +1,128 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"ebonyreel/engines"
+)
+
+// TestStandInEngine runs what the product's other tests do not reach: orders
+// with fencing numbers, resumption, cache events and the lagging load report.
+func TestStandInEngine(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	c := newCluster(t, "archive-trial")
+	for _, checks := range []bool{true, false} {
+		name := "engine-checks-" + strconv.FormatBool(checks)
+		// No agent stands beside it, as one would cancel what it did not ask for.
+		p := &proc{name: name, program: "engine", address: freeAddress(t)}
+		c.start(p, engineSettings{Address: p.address, Agent: freeAddress(t), Role: prefillRole, Model: "summariser", ChecksFencing: checks})
+		e := engines.NewClient(p.address)
+		eventually(t, 10*time.Second, name+" runs", func() bool { _, err := e.Running(ctx); return err == nil })
+		if err := e.Order(ctx, engines.Order{FencingNumber: 7, Version: "2"}); err != nil {
+			t.Fatal(err)
+		}
+		err := e.Order(ctx, engines.Order{FencingNumber: 6, Version: "1"})
+		var status *engines.StatusError
+		if refused := errors.As(err, &status); refused != checks {
+			t.Errorf("%s: an old fencing number was answered with %v", name, err)
+		}
+		checkResume(ctx, t, e, p)
+		eventually(t, 5*time.Second, "load report", func() bool {
+			l, err := e.Load(ctx)
+			return err == nil && l.PrefillTokens > 0
+		})
+		eventually(t, 5*time.Second, "cache event", func() bool { return len(get(t, p, "/Events?From=0")) > len("[]\n") })
+	}
+}
+
+// checkResume decodes a request, cuts it off, and reads the rest by a second
+// call on the same engine.
+func checkResume(ctx context.Context, t *testing.T, e *engines.Client, p *proc) {
+	t.Helper()
+	res, err := e.Prefill(ctx, engines.PrefillCall{Request: "r/1", Prompt: "the deed of the estate"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Import(ctx, engines.ImportCall{Request: "r/1", From: p.address, Handle: res.Handle, Pieces: 1}); err != nil {
+		t.Fatal(err)
+	}
+	next := 0
+	stop := errors.New("enough")
+	take := func(until int) func(engines.Token) error {
+		return func(k engines.Token) error {
+			if k.Position != next {
+				t.Errorf("token of position %d in place of %d", k.Position, next)
+			}
+			next++
+			if next == until {
+				return stop
+			}
+			return nil
+		}
+	}
+	if err := e.Decode(ctx, engines.DecodeCall{Request: "r/1", MaxTokens: 12}, take(5)); !errors.Is(err, stop) {
+		t.Fatal(err)
+	}
+	eventually(t, 5*time.Second, "stream resumed", func() bool {
+		return e.Decode(ctx, engines.DecodeCall{Request: "r/1", FromPosition: next, MaxTokens: 12}, take(0)) == nil
+	})
+	if next != 13 {
+		t.Errorf("%d lines in place of 12 tokens and the end", next)
+	}
+}
+
+func get(t *testing.T, p *proc, path string) string {
+	t.Helper()
+	res, err := http.Get("http://" + p.address.String() + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+// TestWeightStore reads two files at once, which share the rate.
+func TestWeightStore(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "weightstore")
+	if out, err := exec.Command("go", "build", "-o", program, "../standin/weightstore").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	p := &proc{address: freeAddress(t)}
+	cmd := exec.Command(program, "-address", p.address.String(), "-size", "500000", "-bytes-per-second", "1000000")
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
+	eventually(t, 5*time.Second, "weight store runs", func() bool {
+		res, err := http.Head("http://" + p.address.String() + "/w")
+		if err != nil {
+			return false
+		}
+		_ = res.Body.Close()
+		return true
+	})
+	start := time.Now()
+	read := make(chan int, 2)
+	for range 2 {
+		go func() { read <- len(get(t, p, "/w")) }()
+	}
+	if n := <-read + <-read; n != 1_000_000 {
+		t.Errorf("%d bytes were read", n)
+	}
+	if took := time.Since(start); took < 800*time.Millisecond {
+		t.Errorf("1 MB at 1 MB/s took %s", took)
+	}
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -66,6 +66,8 @@
 	limit int
 	// out is nil until a decode call has come.
 	out chan engines.Token
+	// detached is true while the reader is gone; decoding goes on without it.
+	detached bool
 	// reason is why the answer ends at limit.
 	reason string
 }
@@ -180,7 +182,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	q := e.sequences[c.Request]
-	if q == nil || !q.imported || q.out != nil {
+	if q == nil || !q.imported || q.out != nil && !q.detached {
 		return nil, false
 	}
 	q.next = c.FromPosition
@@ -188,11 +190,21 @@
 	if c.MaxTokens < q.limit {
 		q.limit, q.reason = c.MaxTokens, "length"
 	}
-	q.out = make(chan engines.Token, tokenRing)
+	q.out, q.detached = make(chan engines.Token, tokenRing), false
 	e.note("Decode", c.Request, q.next)
 	return q.out, true
 }
 
+// detach lets another call resume a request whose reader has gone. It is decoded
+// to its end meanwhile, unless it is cancelled.
+func (e *engine) detach(request string, out <-chan engines.Token) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if q := e.sequences[request]; q != nil && q.out == out {
+		q.detached = true
+	}
+}
+
 // cancel forgets all of a request.
 func (e *engine) cancel(request string) {
 	e.mu.Lock()
@@ -276,7 +288,9 @@
 	select {
 	case q.out <- t:
 	default:
-		return
+		if !q.detached {
+			return
+		}
 	}
 	q.next++
 	if t.End {
--- a/standin/engine/routes.go
+++ b/standin/engine/routes.go
@@ -169,12 +169,18 @@
 	}
 	e.crash(c.Request)
 	_ = http.NewResponseController(w).Flush()
+	defer e.detach(c.Request, out)
 	lines := json.NewEncoder(w)
-	for t := range out {
-		if lines.Encode(t) != nil {
+	for {
+		select {
+		case <-r.Context().Done():
 			return
+		case t, ok := <-out:
+			if !ok || lines.Encode(t) != nil {
+				return
+			}
+			_ = http.NewResponseController(w).Flush()
 		}
-		_ = http.NewResponseController(w).Flush()
 	}
 }
 
