Drop a field nobody reads and a search for a bucket's name

Cause: reading the whole change again: the view kept the digest of the document in force and never read it; the start of the caller parts' names stood in two packages; dropping a part formatted up to 1,024 names to find its bucket, under the view's lock.

Change: the field is gone, document.CallerPart names the start, and Drop reads the bucket's number from the name.

Lint, the tests of document, controls and state, and TestWholePath, TestOtherDomain and TestControlResume pass before and after.

--- a/controls/view.go
+++ b/controls/view.go
@@ -52,7 +52,6 @@
 	parts document.Assembly
 	// document is nil until the first one is known; its number only grows.
 	document *document.Document
-	digest   string
 	// manifest is the newest document published, without its bytes.
 	manifest *controlv1.Document
 	members  map[string]*controlv1.Member
@@ -80,7 +79,7 @@
 // LeaveOutCallers makes the view follow everything but the callers of the
 // document. It is called before Run.
 func (v *View) LeaveOutCallers() {
-	v.without = v.environment + "/Part/Callers-"
+	v.without = v.environment + "/Part/" + document.CallerPart
 }
 
 // Run follows control until the context ends: a list at revision R, then a
@@ -221,7 +220,7 @@
 	if err != nil {
 		return err
 	}
-	v.document, v.digest = whole, d.GetDigest()
+	v.document = whole
 	v.log.WithFields(logrus.Fields{"Number": d.GetNumber(), "Digest": d.GetDigest()}).Info("document in force")
 	return nil
 }
--- a/document/part.go
+++ b/document/part.go
@@ -5,13 +5,14 @@
 	"fmt"
 	"sort"
 	"strconv"
+	"strings"
 )
 
 const (
 	// HeadPart is the name of the part with everything but the callers.
 	HeadPart = "Head"
-	// callerPart starts the names of the parts with callers.
-	callerPart = "Callers-"
+	// CallerPart starts the names of the parts with callers.
+	CallerPart = "Callers-"
 	// buckets is the number of parts that callers are spread over, so that a
 	// change of one caller among 26,000 moves some 25 of them.
 	buckets = 1024
@@ -53,7 +54,7 @@
 }
 
 func bucketName(b int) string {
-	return fmt.Sprintf("%s%04d", callerPart, b)
+	return fmt.Sprintf("%s%04d", CallerPart, b)
 }
 
 // Parts splits a parsed document, sorted by name. Empty buckets are left out.
@@ -147,11 +148,12 @@
 // Drop removes a part by name.
 func (a *Assembly) Drop(name string) {
 	delete(a.digests, name)
-	for b := range a.callers {
-		if name == bucketName(b) {
-			a.callers[b] = nil
-			return
-		}
+	number, ok := strings.CutPrefix(name, CallerPart)
+	if !ok {
+		return
+	}
+	if b, err := strconv.Atoi(number); err == nil && b >= 0 && b < buckets {
+		a.callers[b] = nil
 	}
 }
 
