--- a/control/loop.go
+++ b/control/loop.go
@@ -7,10 +7,10 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
-	"ebonyreel/journal"
 	controlv1 "ebonyreel/proto/control/v1"
 	replicav1 "ebonyreel/proto/replica/v1"
 	"ebonyreel/replica"
+	"ebonyreel/writeahead"
 )
 
 const (
@@ -51,13 +51,13 @@
 	reply chan error
 }
 
-// loop owns the replica and its journal: one goroutine.
+// loop owns the replica and its write-ahead log: one goroutine.
 type loop struct {
-	store   *Store
-	node    *replica.Node
-	journal *journal.Journal
-	peers   *peers
-	log     *logrus.Entry
+	store *Store
+	node  *replica.Node
+	disk  *writeahead.Log
+	peers *peers
+	log   *logrus.Entry
 	// applied is the index up to which the state has applied the log, and
 	// compacted that of the last snapshot.
 	applied   uint64
@@ -132,12 +132,12 @@
 		return nil
 	}
 	if r.Snapshot != nil {
-		if err := l.journal.Compact(r.Snapshot, l.node.HardState(), nil); err != nil {
+		if err := l.disk.Compact(r.Snapshot, l.node.HardState(), nil); err != nil {
 			return err
 		}
 		l.compacted = r.Snapshot.GetIndex()
 	}
-	if err := l.journal.Save(r.State, r.Entries); err != nil {
+	if err := l.disk.Save(r.State, r.Entries); err != nil {
 		return err
 	}
 	l.node.Saved()
@@ -266,5 +266,5 @@
 	}
 	l.node.Compact(s, keptEntries)
 	l.compacted = l.applied
-	return l.journal.Compact(s, l.node.HardState(), l.node.Retained())
+	return l.disk.Compact(s, l.node.HardState(), l.node.Retained())
 }
--- a/control/store.go
+++ b/control/store.go
@@ -14,13 +14,13 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
-	"ebonyreel/journal"
 	"ebonyreel/lease"
 	controlv1 "ebonyreel/proto/control/v1"
 	replicav1 "ebonyreel/proto/replica/v1"
 	"ebonyreel/replica"
 	"ebonyreel/settings"
 	"ebonyreel/state"
+	"ebonyreel/writeahead"
 )
 
 const (
@@ -81,14 +81,14 @@
 // Open reads the data folder of a control host. A folder with rot in it is set
 // aside if other hosts can bring this one up again.
 func Open(s settings.Control, h *http.Client, log *logrus.Entry, opts ...connect.ClientOption) (*Store, error) {
-	j, c, err := journal.Open(s.DataFolder)
-	var rot *journal.RotError
+	j, c, err := writeahead.Open(s.DataFolder)
+	var rot *writeahead.RotError
 	if errors.As(err, &rot) && len(s.Cluster) > 1 {
 		log.WithError(err).Error("data folder set aside, the host joins anew")
-		if err = journal.SetAside(s.DataFolder); err != nil {
+		if err = writeahead.SetAside(s.DataFolder); err != nil {
 			return nil, err
 		}
-		j, c, err = journal.Open(s.DataFolder)
+		j, c, err = writeahead.Open(s.DataFolder)
 	}
 	if err != nil {
 		return nil, err
@@ -108,13 +108,13 @@
 	return st, nil
 }
 
-func newLoop(s *Store, j *journal.Journal, c *journal.Content, log *logrus.Entry) *loop {
+func newLoop(s *Store, j *writeahead.Log, c *writeahead.Content, log *logrus.Entry) *loop {
 	o := replica.Options{
 		ID: c.ID, ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, AppendBytes: appendBytes,
 		Random: func(d time.Duration) time.Duration { return rand.N(d) },
 	}
 	l := &loop{
-		store: s, journal: j, peers: s.peers, log: log,
+		store: s, disk: j, peers: s.peers, log: log,
 		applied: c.Snapshot.GetIndex(), compacted: c.Snapshot.GetIndex(),
 		waiters: map[uint64]waiter{}, asked: map[uint64]chan error{}, nextRead: rand.Uint64(),
 	}
@@ -135,7 +135,7 @@
 	}
 	go s.join(ctx)
 	go s.expireAll(ctx)
-	defer func() { _ = s.loop.journal.Close() }()
+	defer func() { _ = s.loop.disk.Close() }()
 	return s.loop.run(ctx)
 }
 
--- a/journal/errors.go
+++ b/writeahead/errors.go
@@ -1,4 +1,4 @@
-package journal
+package writeahead
 
 // RotError reports that something is damaged that was once synced. The host
 // must not vote with what is left of it.
--- a/journal/files.go
+++ b/writeahead/files.go
@@ -1,4 +1,4 @@
-package journal
+package writeahead
 
 import (
 	"encoding/binary"
@@ -48,7 +48,7 @@
 
 // writeMark notes how much of the segment is synced. It is not synced itself:
 // an old mark only makes less rot known.
-func (j *Journal) writeMark() error {
+func (j *Log) writeMark() error {
 	b := binary.LittleEndian.AppendUint64(nil, uint64(j.synced))
 	b = binary.LittleEndian.AppendUint32(b, checksum(b))
 	_, err := j.mark.WriteAt(b, 0)
@@ -59,7 +59,7 @@
 }
 
 // clearMark forgets the mark, on the disk as well.
-func (j *Journal) clearMark() error {
+func (j *Log) clearMark() error {
 	if err := j.mark.Truncate(0); err != nil {
 		return errorx.Decorate(err, "clear mark")
 	}
--- a/journal/journal.go
+++ b/writeahead/log.go
@@ -1,4 +1,4 @@
-// Package journal keeps what a replica must not forget under one folder: a
+// Package writeahead keeps what a replica must not forget under one folder: a
 // snapshot, and a segment of checksummed records after it.
 //
 // Many records are written and synced as one batch. Each record carries the
@@ -10,7 +10,7 @@
 // a failed sync the state of the disk is unknown, and the process must end: A.
 // Rebello et al., "Can Applications Recover from fsync Failures?", USENIX ATC
 // 2020.
-package journal
+package writeahead
 
 import (
 	"crypto/rand"
@@ -51,8 +51,8 @@
 	Entries []*replicav1.Entry
 }
 
-// Journal writes to a folder. It is not safe for concurrent use.
-type Journal struct {
+// Log writes to a folder. It is not safe for concurrent use.
+type Log struct {
 	// folder belongs to this process alone.
 	folder string
 	id     string
@@ -66,7 +66,7 @@
 
 // Open reads a folder, or makes a new identity in an empty one. A torn tail is
 // cut. The error is a *RotError when a synced record is damaged.
-func Open(folder string) (*Journal, *Content, error) {
+func Open(folder string) (*Log, *Content, error) {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, nil, errorx.Decorate(err, "make data folder")
 	}
@@ -74,7 +74,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	j := &Journal{folder: folder, id: c.ID}
+	j := &Log{folder: folder, id: c.ID}
 	if c.ID == "" {
 		if err := SetAside(folder); err != nil {
 			return nil, nil, err
@@ -87,7 +87,7 @@
 }
 
 // resume opens the segment for more records after its first size bytes.
-func (j *Journal) resume(size int64) error {
+func (j *Log) resume(size int64) error {
 	f, err := os.OpenFile(filepath.Join(j.folder, segmentFile), os.O_WRONLY, fileMode)
 	if err != nil {
 		return errorx.Decorate(err, "open segment")
@@ -102,7 +102,7 @@
 }
 
 // adopt goes on with a segment of a size, once all of it is on the disk.
-func (j *Journal) adopt(f *os.File, size int64) error {
+func (j *Log) adopt(f *os.File, size int64) error {
 	if err := f.Sync(); err != nil {
 		return &SyncError{Cause: err}
 	}
@@ -122,7 +122,7 @@
 
 // Save writes a term and vote and entries as one batch, and syncs the disk
 // once. The error is a *SyncError, after which the process must end.
-func (j *Journal) Save(state *replicav1.HardState, entries []*replicav1.Entry) error {
+func (j *Log) Save(state *replicav1.HardState, entries []*replicav1.Entry) error {
 	j.batch = j.batch[:0]
 	if err := j.collect(state, entries); err != nil {
 		return err
@@ -138,7 +138,7 @@
 	return j.writeMark()
 }
 
-func (j *Journal) collect(state *replicav1.HardState, entries []*replicav1.Entry) error {
+func (j *Log) collect(state *replicav1.HardState, entries []*replicav1.Entry) error {
 	var err error
 	if state != nil {
 		r := &replicav1.Record{Kind: &replicav1.Record_State{State: state}}
@@ -157,7 +157,7 @@
 
 // Compact saves a snapshot, and then begins a new segment with the entries
 // that are still needed.
-func (j *Journal) Compact(s *replicav1.Snapshot, state *replicav1.HardState, entries []*replicav1.Entry) error {
+func (j *Log) Compact(s *replicav1.Snapshot, state *replicav1.HardState, entries []*replicav1.Entry) error {
 	if err := j.saveSnapshot(s); err != nil {
 		return err
 	}
@@ -165,7 +165,7 @@
 }
 
 // begin puts a new segment in the place of the old one, all or nothing.
-func (j *Journal) begin(state *replicav1.HardState, entries []*replicav1.Entry) error {
+func (j *Log) begin(state *replicav1.HardState, entries []*replicav1.Entry) error {
 	j.synced = 0
 	first := &replicav1.Record{Kind: &replicav1.Record_Id{Id: j.id}}
 	b, err := appendRecord(nil, first, 0)
@@ -192,7 +192,7 @@
 	return j.adopt(f, int64(len(j.batch)))
 }
 
-func (j *Journal) saveSnapshot(s *replicav1.Snapshot) error {
+func (j *Log) saveSnapshot(s *replicav1.Snapshot) error {
 	b, err := encodeSnapshot(j.id, s)
 	if err != nil {
 		return err
@@ -201,7 +201,7 @@
 }
 
 // Close ends the writing.
-func (j *Journal) Close() error {
+func (j *Log) Close() error {
 	_ = j.mark.Sync()
 	_ = j.mark.Close()
 	if err := j.file.Close(); err != nil {
--- a/journal/journal_test.go
+++ b/writeahead/log_test.go
@@ -1,4 +1,4 @@
-package journal
+package writeahead
 
 import (
 	"errors"
@@ -37,9 +37,9 @@
 }
 
 type script struct {
-	t       *testing.T
-	folder  string
-	journal *Journal
+	t      *testing.T
+	folder string
+	log    *Log
 	// ids numbers identities in the order of their first sight.
 	ids map[string]int
 }
@@ -55,14 +55,14 @@
 	case "open":
 		return s.open()
 	case "vote":
-		return verdict(s.journal.Save(&replicav1.HardState{Term: uint64(n[0]), Vote: "v"}, nil))
+		return verdict(s.log.Save(&replicav1.HardState{Term: uint64(n[0]), Vote: "v"}, nil))
 	case "save":
-		return verdict(s.journal.Save(nil, entries(n[0], n[1], n[2])))
+		return verdict(s.log.Save(nil, entries(n[0], n[1], n[2])))
 	case "compact":
 		c := &replicav1.Snapshot{Index: uint64(n[0]), Term: 1, State: []byte("state")}
-		return verdict(s.journal.Compact(c, &replicav1.HardState{Term: 9}, entries(n[1], n[2], 1)))
+		return verdict(s.log.Compact(c, &replicav1.HardState{Term: 9}, entries(n[1], n[2], 1)))
 	case "half-compact":
-		return verdict(s.journal.saveSnapshot(&replicav1.Snapshot{Index: uint64(n[0]), Term: 1, State: []byte("state")}))
+		return verdict(s.log.saveSnapshot(&replicav1.Snapshot{Index: uint64(n[0]), Term: 1, State: []byte("state")}))
 	case "unsynced":
 		return s.unsynced(n[0], n[1])
 	case "cut":
@@ -72,7 +72,7 @@
 	case "forget-mark":
 		return verdict(os.Remove(s.path(markFile)))
 	case "fail-sync":
-		s.journal.file = failing{s.journal.file}
+		s.log.file = failing{s.log.file}
 	case "set-aside":
 		return verdict(SetAside(s.folder))
 	case "lose-segment":
@@ -98,7 +98,7 @@
 	if err != nil {
 		return verdict(err)
 	}
-	s.journal = j
+	s.log = j
 	if s.ids == nil {
 		s.ids = map[string]int{}
 	}
@@ -114,11 +114,11 @@
 
 // unsynced writes entries as a batch whose sync never came.
 func (s *script) unsynced(from, to int64) string {
-	s.journal.batch = nil
-	if err := s.journal.collect(nil, entries(from, to, 1)); err != nil {
+	s.log.batch = nil
+	if err := s.log.collect(nil, entries(from, to, 1)); err != nil {
 		return verdict(err)
 	}
-	_, err := s.journal.file.Write(s.journal.batch)
+	_, err := s.log.file.Write(s.log.batch)
 	return verdict(err)
 }
 
--- a/journal/records.go
+++ b/writeahead/records.go
@@ -1,4 +1,4 @@
-package journal
+package writeahead
 
 import (
 	"encoding/binary"
