--- a/cmd/control/command.go
+++ b/cmd/control/command.go
@@ -9,6 +9,7 @@
 
 	"ebonyreel/control"
 	"ebonyreel/logs"
+	"ebonyreel/platform"
 	"ebonyreel/process"
 	"ebonyreel/proto/control/v1/controlv1connect"
 	"ebonyreel/proto/replica/v1/replicav1connect"
@@ -27,7 +28,7 @@
 			if err != nil {
 				return err
 			}
-			return run(s)
+			return run(file, s)
 		},
 	}
 	c.PersistentFlags().StringVar(&file, "settings", "control.json", "settings file")
@@ -39,8 +40,10 @@
 }
 
 // run starts the duties of a control process and waits for its planned stop.
-func run(s settings.Control) error {
+func run(file string, s settings.Control) error {
 	log := logs.New("control", s.Name)
+	defer logs.Flush(log)
+	process.LimitMemory(s.MemoryMegabytes)
 	security, err := process.OpenSecurity(s.Security)
 	if err != nil {
 		return err
@@ -54,25 +57,37 @@
 	if err != nil {
 		return err
 	}
-	peers := transport.NewServer(peerRoutes(store, security))
+	routes := peerRoutes(store, security)
+	if s.Protocol == settings.Platform {
+		g := control.NewGateway(store, security.Client, connect.WithInterceptors(security.Show))
+		platform.NewRegistry(g, s.Environment, log).Add(routes)
+		platform.NewOperator(g, s.Environment, log).Add(routes)
+	}
+	peers := transport.NewServer(routes)
 	operators := transport.NewServer(operatorRoutes(store, security))
 	failed := make(chan error, 3)
 	go func() { failed <- store.Run(base) }()
 	go func() { failed <- transport.ServeSecure(base, peers, s.Peers, security.Certificates) }()
 	go func() { failed <- transport.Serve(base, operators, s.Operators) }()
+	go process.Reload(base, file, log, func() error {
+		_, err := settings.ReadControl(file)
+		return err
+	})
 	log.WithField("Peers", s.Peers.String()).Info("started")
 	select {
 	case err := <-failed:
+		log.WithError(err).Error("stopped")
 		return err
 	case <-stopping.Done():
 	}
 	store.Transfer(base)
 	store.Close()
 	process.Shutdown(log, peers, operators)
+	log.Info("stopped")
 	return nil
 }
 
-func peerRoutes(store *control.Store, s *process.Security) http.Handler {
+func peerRoutes(store *control.Store, s *process.Security) *http.ServeMux {
 	m := http.NewServeMux()
 	check := connect.WithInterceptors(s.Check)
 	m.Handle(controlv1connect.NewControlServiceHandler(control.NewServer(store), check))
--- a/cmd/entry/command.go
+++ b/cmd/entry/command.go
@@ -35,7 +35,7 @@
 			if err != nil {
 				return err
 			}
-			return run(s)
+			return run(file, s)
 		},
 	}
 	c.PersistentFlags().StringVar(&file, "settings", "entry.json", "settings file")
@@ -76,9 +76,10 @@
 }
 
 // run starts the duties of an entry and waits for its planned stop.
-func run(s settings.Entry) error {
+func run(file string, s settings.Entry) error {
 	log := logs.New("entry", s.Name)
-	policy, _ := placement.New(s.Policy)
+	defer logs.Flush(log)
+	process.LimitMemory(s.MemoryMegabytes)
 	f, err := open(s)
 	if err != nil {
 		return err
@@ -91,37 +92,76 @@
 	client := controls.NewClient(f.security.Client, s.Controls, connect.WithInterceptors(f.security.Show))
 	view := controls.NewView(client, s.Environment, log)
 	announcer := controls.NewAnnouncer(client, view, member(s), log)
-	pool := agents.NewPool(s.Name, f.security.NewClient, log, connect.WithInterceptors(f.tracing, f.security.Show))
-	server := entry.NewServer(s.Name, client, view, announcer, pool, policy, f.decisions, f.tracer, log)
+	go process.Reload(base, file, log, func() error {
+		changed, err := settings.ReadEntry(file)
+		if err == nil {
+			client.Seed(changed.Controls)
+		}
+		return err
+	})
 	go view.Run(base)
 	go announcer.Run(base)
-	go pool.RunReleases(base)
-	go pool.RunRenewals(base)
-	go f.decisions.Run()
-
-	callers := transport.NewServer(server.Handler())
-	operators := transport.NewServer(operatorRoutes(server, stop, f.security))
+	p := parts{settings: s, files: f, client: client, view: view, announcer: announcer, log: log}
+	serve := p.own
+	if s.Protocol == settings.Platform {
+		serve = p.platform
+	}
+	w, err := serve(base, stop)
+	if err != nil {
+		return err
+	}
 	failed := make(chan error, 2)
-	go func() { failed <- transport.ServeSecure(base, callers, s.Callers, f.certificates) }()
-	go func() { failed <- transport.ServeSecure(base, operators, s.Operators, f.security.Certificates) }()
-	log.WithField("Callers", s.Callers.String()).Info("started")
+	go func() { failed <- transport.ServeSecure(base, w.callers, s.Callers, f.certificates) }()
+	go func() { failed <- transport.ServeSecure(base, w.operators, s.Operators, f.security.Certificates) }()
+	log.WithFields(logrus.Fields{"Callers": s.Callers.String(), "Protocol": s.Protocol}).Info("started")
 	select {
 	case err := <-failed:
+		log.WithError(err).Error("stopped")
 		return err
 	case <-stopping.Done():
 	}
-	planned(base, server, announcer, log)
-	process.Shutdown(log, callers, operators)
+	w.stop(base)
+	if err := announcer.Leave(base, true); err != nil {
+		log.WithError(err).Warn("leave failed, the lease will lapse")
+	}
+	process.Shutdown(log, w.callers, w.operators)
+	log.Info("stopped")
 	f.decisions.Close()
 	return f.tracer.Close(base)
 }
 
-// planned drains the server and then leaves the membership.
-func planned(ctx context.Context, server *entry.Server, a *controls.Announcer, log *logrus.Entry) {
-	server.Stop(ctx)
-	if err := a.Leave(ctx, true); err != nil {
-		log.WithError(err).Warn("leave failed, the lease will lapse")
-	}
+// parts are what an entry is made of, whatever its callers speak.
+type parts struct {
+	settings  settings.Entry
+	files     *files
+	client    *controls.Client
+	view      *controls.View
+	announcer *controls.Announcer
+	log       *logrus.Entry
+}
+
+// work is the side of an entry towards its callers.
+type work struct {
+	callers   *http.Server
+	operators *http.Server
+	// stop makes the entry unready and returns once its connections may be
+	// closed.
+	stop func(ctx context.Context)
+}
+
+// own serves the project's own calls.
+func (p parts) own(ctx context.Context, stop func()) (work, error) {
+	policy, _ := placement.New(p.settings.Policy)
+	f := p.files
+	pool := agents.NewPool(p.settings.Name, f.security.NewClient, p.log, connect.WithInterceptors(f.tracing, f.security.Show))
+	server := entry.NewServer(p.settings.Name, p.client, p.view, p.announcer, pool, policy, f.decisions, f.tracer, p.log)
+	go pool.RunReleases(ctx)
+	go pool.RunRenewals(ctx)
+	go f.decisions.Run()
+	return work{
+		callers: transport.NewServer(server.Handler()), operators: transport.NewServer(operatorRoutes(server, stop, f.security)),
+		stop: server.Stop,
+	}, nil
 }
 
 func member(s settings.Entry) *controlv1.Member {
--- /dev/null
+++ b/cmd/entry/platform.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"ebonyreel/entry"
+	"ebonyreel/platform"
+	"ebonyreel/process"
+	"ebonyreel/relay"
+	"ebonyreel/transport"
+)
+
+// platform serves the calls of the users' platform.
+func (p parts) platform(context.Context, func()) (work, error) {
+	s := p.settings
+	budget := relay.Budget{Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack, Window: time.Duration(s.RetryBudget.Window)}
+	r := relay.New(p.view, platform.NewWorker(), s.FailureDomain, budget, p.log)
+	gate := entry.NewGate(p.view, p.log)
+	m := http.NewServeMux()
+	platform.AddReadiness(m, gate.Ready)
+	process.Metrics(m, "Relay", r.Metrics())
+	return work{
+		callers:   transport.NewCallersServer(platform.NewFront(r, p.view.Document, gate.Leaving, p.log)),
+		operators: transport.NewServer(m),
+		stop:      gate.Stop,
+	}, nil
+}
--- a/control/member.go
+++ b/control/member.go
@@ -51,17 +51,20 @@
 	return proto.Equal(old, as) && (leaving || m.GetState() == old.GetState())
 }
 
-// grant gives every member a full lease: a new leader does not know how much
+// grant gives every member and endpoint a full lease: a new leader does not know how much
 // of its lease is left.
 func (s *Store) grant(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leases = lease.Table{}
+	s.leases, s.endpointLeases, s.heard = lease.Table{}, lease.Table{}, map[string]heard{}
 	items, _ := s.state.List(state.Range{})
 	for _, it := range items {
 		if it.GetMember() != nil {
 			s.leases.Renew(it.GetKey(), now, MemberLease)
 		}
+		if it.GetEndpoint() != nil {
+			s.endpointLeases.Renew(it.GetKey(), now, EndpointLease)
+		}
 	}
 }
 
@@ -76,6 +79,7 @@
 		case <-t.C:
 			if s.Status().Leads {
 				s.expire(ctx)
+				s.lapseEndpoints(ctx)
 			}
 		}
 	}
--- a/control/server.go
+++ b/control/server.go
@@ -63,6 +63,7 @@
 		Digest:      digest,
 		Resolved:    b,
 		Submitter:   access.Name(ctx, r.GetSubmitter()),
+		Source:      r.GetSource(),
 	}, nil
 }
 
@@ -153,6 +154,22 @@
 	return connect.NewResponse(&controlv1.LeaveResponse{}), nil
 }
 
+// AnnounceEndpoint adds, changes or renews an endpoint.
+func (s *Server) AnnounceEndpoint(ctx context.Context, r *connect.Request[controlv1.AnnounceEndpointRequest]) (*connect.Response[controlv1.AnnounceEndpointResponse], error) {
+	if err := s.store.AnnounceEndpoint(ctx, r.Msg); err != nil {
+		return nil, refuse(err)
+	}
+	return connect.NewResponse(&controlv1.AnnounceEndpointResponse{Lease: durationpb.New(EndpointLease)}), nil
+}
+
+// RemoveEndpoint ends the current lifetime of an endpoint.
+func (s *Server) RemoveEndpoint(ctx context.Context, r *connect.Request[controlv1.RemoveEndpointRequest]) (*connect.Response[controlv1.RemoveEndpointResponse], error) {
+	if err := s.store.RemoveEndpoint(ctx, r.Msg); err != nil {
+		return nil, refuse(err)
+	}
+	return connect.NewResponse(&controlv1.RemoveEndpointResponse{}), nil
+}
+
 // BeginOperation records a non-idempotent call before its dispatch.
 func (s *Server) BeginOperation(ctx context.Context, r *connect.Request[controlv1.BeginOperationRequest]) (*connect.Response[controlv1.BeginOperationResponse], error) {
 	res, err := s.store.Propose(ctx, &controlv1.Command{Kind: &controlv1.Command_Begin{Begin: r.Msg.GetOperation()}})
--- a/control/store.go
+++ b/control/store.go
@@ -68,6 +68,9 @@
 	state *state.State
 	// leases is guarded by mu and keyed by member key.
 	leases lease.Table
+	// endpointLeases and heard are guarded by mu and keyed by endpoint key.
+	endpointLeases lease.Table
+	heard          map[string]heard
 	// changed is guarded by mu; it is closed with each published change.
 	changed chan struct{}
 	// status is guarded by mu.
@@ -98,6 +101,7 @@
 		peers:   newPeers(s.Name, s.Cluster, h, opts...),
 		inputs:  make(chan input, inputRing),
 		state:   state.New(s.WatchHistory),
+		heard:   map[string]heard{},
 		changed: make(chan struct{}),
 		done:    make(chan struct{}),
 	}
--- a/controls/client.go
+++ b/controls/client.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -31,22 +31,88 @@
 
 // Client calls control. It is safe for concurrent use.
 type Client struct {
-	// addresses has one element for each control host, and peers its client.
-	addresses []netip.AddrPort
-	peers     []controlv1connect.ControlServiceClient
-	// at is the index of the host that answered last.
-	at atomic.Int64
+	http *http.Client
+	opts []connect.ClientOption
+
+	mu sync.Mutex
+	// seeds are the control hosts of the settings, and learned those that
+	// control named.
+	seeds   []netip.AddrPort
+	learned []netip.AddrPort
+	// hosts are all of them, those that control named first.
+	hosts []host
+	// at is the address of the host that answered last.
+	at netip.AddrPort
+}
+
+// host is one control host.
+type host struct {
+	address netip.AddrPort
+	client  controlv1connect.ControlServiceClient
 }
 
 // NewClient returns a client for a list of control hosts.
 func NewClient(h *http.Client, addresses []netip.AddrPort, opts ...connect.ClientOption) *Client {
-	c := &Client{addresses: addresses}
-	for _, a := range addresses {
-		c.peers = append(c.peers, controlv1connect.NewControlServiceClient(h, transport.URL(a), opts...))
-	}
+	c := &Client{http: h, opts: opts}
+	c.Seed(addresses)
 	return c
 }
 
+// Seed takes in the control hosts of the settings.
+func (c *Client) Seed(addresses []netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = slices.Clone(addresses)
+	c.merge()
+}
+
+// Learn takes in the control hosts that control named.
+func (c *Client) Learn(addresses []netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(addresses) == 0 || slices.Equal(addresses, c.learned) {
+		return
+	}
+	c.learned = slices.Clone(addresses)
+	c.merge()
+}
+
+// merge lists each host once, and keeps the clients that there are.
+func (c *Client) merge() {
+	var out []host
+	for _, a := range slices.Concat(c.learned, c.seeds) {
+		if slices.ContainsFunc(out, func(h host) bool { return h.address == a }) {
+			continue
+		}
+		i := slices.IndexFunc(c.hosts, func(h host) bool { return h.address == a })
+		if i >= 0 {
+			out = append(out, c.hosts[i])
+			continue
+		}
+		out = append(out, host{address: a, client: controlv1connect.NewControlServiceClient(c.http, transport.URL(a), c.opts...)})
+	}
+	c.hosts = out
+}
+
+// current returns the host to try next, and the number of hosts.
+func (c *Client) current() (host, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.hosts {
+		if h.address == c.at {
+			return h, len(c.hosts)
+		}
+	}
+	return c.hosts[0], len(c.hosts)
+}
+
+// pick returns the host of a number, which may be any.
+func (c *Client) pick(n int) host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hosts[n%len(c.hosts)]
+}
+
 // NoAnswerError reports that no control host gave an answer that counts. It is
 // a type of its own as errorx's wrappers hide their cause from errors.As.
 type NoAnswerError struct {
@@ -72,14 +138,14 @@
 func (c *Client) each(ctx context.Context, s step) error {
 	var last error
 	for start := time.Now(); ; {
-		for range c.peers {
-			at := int(c.at.Load()) % len(c.peers)
-			err := try(ctx, c.peers[at], s)
+		at, n := c.current()
+		for range n {
+			err := try(ctx, at.client, s)
 			if err == nil || !elsewhere(err) {
 				return err
 			}
 			last = err
-			c.at.CompareAndSwap(int64(at), int64(c.after(at, err)))
+			at = c.next(at, err)
 		}
 		if time.Since(start) > patience || !pause(ctx, roundPause) {
 			break
@@ -88,14 +154,26 @@
 	return &NoAnswerError{Cause: last}
 }
 
-// after returns the host to try after one has failed: the leader, if the
-// failed one named it.
-func (c *Client) after(at int, err error) int {
+// next returns the host to try after one has failed: the leader, if the failed
+// one named it.
+func (c *Client) next(failed host, err error) host {
 	leader, e := netip.ParseAddrPort(Reason(err).GetLeaderAddress())
-	if i := slices.Index(c.addresses, leader); e == nil && i >= 0 {
-		return i
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	after := 0
+	for i, h := range c.hosts {
+		if e == nil && h.address == leader {
+			c.at = leader
+			return h
+		}
+		if h.address == failed.address {
+			after = (i + 1) % len(c.hosts)
+		}
+	}
+	if c.at == failed.address || !c.at.IsValid() {
+		c.at = c.hosts[after].address
 	}
-	return (at + 1) % len(c.peers)
+	return c.hosts[after]
 }
 
 func try(ctx context.Context, p controlv1connect.ControlServiceClient, s step) error {
--- a/controls/view.go
+++ b/controls/view.go
@@ -24,6 +24,9 @@
 	// relistSpread is the widest pause before a relist; pauses are random so
 	// that processes do not all list at once after a failover.
 	relistSpread = 500 * time.Millisecond
+	// spread is above the number of control hosts; the first watch is at a
+	// random one of them.
+	spread = 1 << 16
 )
 
 // Pool names the members that serve one model or service in one role.
@@ -58,6 +61,9 @@
 	// pools indexes the members that take new work.
 	pools   map[Pool][]*controlv1.Member
 	strikes map[string]*controlv1.Strikes
+	// endpoints is keyed like the items, and served by the name of the pool.
+	endpoints map[string]*controlv1.Endpoint
+	served    map[string][]*controlv1.Endpoint
 	// changed is closed with each change.
 	changed chan struct{}
 }
@@ -68,10 +74,12 @@
 		environment: environment,
 		client:      c,
 		log:         log,
-		at:          rand.IntN(max(1, len(c.peers))),
+		at:          rand.IntN(spread),
 		members:     map[string]*controlv1.Member{},
 		pools:       map[Pool][]*controlv1.Member{},
 		strikes:     map[string]*controlv1.Strikes{},
+		endpoints:   map[string]*controlv1.Endpoint{},
+		served:      map[string][]*controlv1.Endpoint{},
 		changed:     make(chan struct{}),
 	}
 }
@@ -122,6 +130,7 @@
 	}
 	clear(v.members)
 	clear(v.strikes)
+	clear(v.endpoints)
 	v.parts = document.Assembly{}
 	for _, it := range res.GetItems() {
 		v.put(it)
@@ -139,8 +148,7 @@
 	defer cancel()
 	quiet := time.AfterFunc(silence, cancel)
 	defer quiet.Stop()
-	p := v.client.peers[v.at%len(v.client.peers)]
-	s, err := v.open(ctx, p)
+	s, err := v.open(ctx, v.client.pick(v.at).client)
 	if err != nil {
 		return err
 	}
@@ -198,9 +206,21 @@
 		v.members[it.GetKey()] = k.Member
 	case *controlv1.Item_Strikes:
 		v.strikes[k.Strikes.GetContentDigest()] = k.Strikes
+	case *controlv1.Item_Endpoint:
+		v.putEndpoint(it.GetKey(), k.Endpoint)
 	}
 }
 
+func (v *View) putEndpoint(key string, e *controlv1.Endpoint) {
+	if old := v.endpoints[key]; old.GetState() != e.GetState() || old.GetLifetime() != e.GetLifetime() {
+		v.log.WithFields(logrus.Fields{
+			"Endpoint": e.GetName(), "Address": e.GetAddress(), "Serves": e.GetServes(), "Lifetime": e.GetLifetime(),
+			"State": e.GetState().String(), "Was": old.GetState().String(),
+		}).Info("endpoint changed")
+	}
+	v.endpoints[key] = e
+}
+
 func (v *View) putPart(p *controlv1.DocumentPart) {
 	err := v.parts.Put(document.Part{Name: p.GetName(), Digest: p.GetDigest(), Content: p.GetContent()})
 	if err != nil {
@@ -238,6 +258,7 @@
 
 func (v *View) remove(key string) {
 	delete(v.members, key)
+	delete(v.endpoints, key)
 	if name, ok := strings.CutPrefix(key, v.environment+"/Part/"); ok {
 		v.parts.Drop(name)
 	}
@@ -257,17 +278,24 @@
 		p := Pool{Serves: m.GetServes(), Role: m.GetRole()}
 		v.pools[p] = append(v.pools[p], m)
 	}
+	v.served = map[string][]*controlv1.Endpoint{}
+	for _, e := range v.endpoints {
+		if s := e.GetState(); s == controlv1.EndpointState_ENDPOINT_STATE_READY || s == controlv1.EndpointState_ENDPOINT_STATE_LOST {
+			v.served[e.GetServes()] = append(v.served[e.GetServes()], e)
+		}
+	}
 	close(v.changed)
 	v.changed = make(chan struct{})
 }
 
 // serves reports whether a member takes new work: it is not leaving, and the
-// document declares its failure domain.
+// document, if it lists failure domains, has its one.
 func (v *View) serves(m *controlv1.Member) bool {
 	if m.GetState() != controlv1.MemberState_MEMBER_STATE_SERVING || v.document == nil {
 		return false
 	}
-	return slices.Contains(v.document.FailureDomains, m.GetFailureDomain())
+	all := v.document.FailureDomains
+	return len(all) == 0 || slices.Contains(all, m.GetFailureDomain())
 }
 
 // Revision returns the revision of the last change applied.
@@ -291,6 +319,19 @@
 	return v.pools[p]
 }
 
+// Entries returns the number of entries that take calls.
+func (v *View) Entries() int {
+	return len(v.Members(Pool{Role: controlv1.Role_ROLE_ENTRY}))
+}
+
+// Endpoints returns the endpoints of a pool that take new work or are lost, in
+// no order.
+func (v *View) Endpoints(pool string) []*controlv1.Endpoint {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.served[pool]
+}
+
 // All returns every member, in no order.
 func (v *View) All() []*controlv1.Member {
 	v.mu.RLock()
--- a/document/check.go
+++ b/document/check.go
@@ -68,6 +68,7 @@
 		c.unique(names, a.Name, fmt.Sprintf("Callers[%d].Name", i))
 		c.unique(keys, a.KeyHash, fmt.Sprintf("Callers[%d].KeyHash", i))
 	}
+	d.checkRoutes(c)
 	c.positive("Retention.Operations", d.Retention.Operations)
 	c.positive("Retention.Strikes", d.Retention.Strikes)
 	c.between("Retention.OperationsKept", d.Retention.OperationsKept, 1, 10_000_000)
@@ -76,7 +77,7 @@
 }
 
 func (d *Document) checkDomains(c *checker) {
-	if len(d.FailureDomains) == 0 {
+	if len(d.FailureDomains) == 0 && len(d.Routes) == 0 {
 		c.Add("FailureDomains", "none", "at least one failure domain")
 	}
 	seen := map[string]string{}
--- a/document/document.go
+++ b/document/document.go
@@ -13,7 +13,7 @@
 )
 
 // Level is the highest feature level of documents that this build understands.
-const Level = 1
+const Level = 2
 
 // Document is the declaration of one environment.
 type Document struct {
@@ -30,11 +30,20 @@
 	Services []Service
 	// Callers is sorted by name; names and keys are unique.
 	Callers []Caller
+	// Pools is sorted by name; names are unique. It needs level 2.
+	Pools []Pool `json:",omitempty"`
+	// Routes is sorted by name; names are unique, and so are pairs of host and
+	// path prefix. It needs level 2.
+	Routes []Route `json:",omitempty"`
+	// Requests bounds what callers of routes may send.
+	Requests Requests `json:",omitzero"`
 	// Retention bounds what the control state keeps.
 	Retention Retention
 
 	// buckets spreads the callers by the hashes of their keys.
 	buckets *[buckets][]Caller
+	// table finds routes by host.
+	table map[string][]Route
 }
 
 // Model declares one model and how it is served.
--- a/document/parse.go
+++ b/document/parse.go
@@ -40,6 +40,7 @@
 	}
 	d.sort()
 	d.buckets = d.spread()
+	d.index()
 	return d, nil
 }
 
@@ -58,6 +59,7 @@
 		return nil, single("JSON", "a document without its defaults", "a resolved document")
 	}
 	d.buckets = d.spread()
+	d.index()
 	return d, nil
 }
 
@@ -94,6 +96,9 @@
 	for i := range d.Callers {
 		d.Callers[i].resolve()
 	}
+	for i := range d.Routes {
+		d.Routes[i].resolve()
+	}
 	orDuration(&d.Retention.Operations, defaultOperations)
 	orInt(&d.Retention.OperationsKept, defaultOperationsKept)
 	orDuration(&d.Retention.Strikes, defaultStrikes)
@@ -117,6 +122,7 @@
 	sort.Slice(d.Models, func(i, j int) bool { return d.Models[i].Name < d.Models[j].Name })
 	sort.Slice(d.Services, func(i, j int) bool { return d.Services[i].Name < d.Services[j].Name })
 	sort.Slice(d.Callers, func(i, j int) bool { return d.Callers[i].Name < d.Callers[j].Name })
+	d.sortRoutes()
 }
 
 func (m *Model) resolve() {
--- a/document/part.go
+++ b/document/part.go
@@ -176,5 +176,6 @@
 	out := *a.head
 	callers := a.callers
 	out.buckets = &callers
+	out.index()
 	return &out, nil
 }
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -1,20 +1,107 @@
-// Package logs makes the logger of a process: JSON lines on standard error.
+// Package logs makes the logger of a process: JSON lines on standard output,
+// written by a goroutine of their own so that no request waits for a reader.
 package logs
 
 import (
+	"encoding/json"
+	"io"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 )
 
+const (
+	// ring is the number of lines that may wait to be written; more are
+	// dropped and counted.
+	ring = 1024
+	// flushTimeout bounds the wait for the last lines at the end of a process.
+	flushTimeout = 200 * time.Millisecond
+)
+
 // New returns a logger that names the program and the process on each line.
 func New(program, name string) *logrus.Entry {
 	l := logrus.New()
-	l.SetOutput(os.Stderr)
+	l.SetOutput(newWriter(os.Stdout))
 	l.SetFormatter(&logrus.JSONFormatter{
 		TimestampFormat: time.RFC3339Nano,
 		FieldMap:        logrus.FieldMap{logrus.FieldKeyTime: "Time", logrus.FieldKeyLevel: "Level", logrus.FieldKeyMsg: "Message"},
 	})
 	return l.WithFields(logrus.Fields{"Program": program, "Name": name})
 }
+
+// Flush waits until the lines of a logger are written, but not for long.
+func Flush(e *logrus.Entry) {
+	if w, ok := e.Logger.Out.(*writer); ok {
+		w.flush()
+	}
+}
+
+// writer hands lines to a goroutine that writes them. It never blocks.
+type writer struct {
+	lines chan line
+	// dropped counts lines for which there was no room, since the last report.
+	dropped atomic.Int64
+}
+
+// line is one line, or a request to tell when all before it are written.
+type line struct {
+	text    []byte
+	written chan struct{}
+}
+
+func newWriter(to io.Writer) *writer {
+	w := &writer{lines: make(chan line, ring)}
+	go w.run(to)
+	return w
+}
+
+// Write takes one line, or drops it.
+func (w *writer) Write(b []byte) (int, error) {
+	select {
+	case w.lines <- line{text: append([]byte(nil), b...)}:
+	default:
+		w.dropped.Add(1)
+	}
+	return len(b), nil
+}
+
+func (w *writer) run(to io.Writer) {
+	for l := range w.lines {
+		if l.written != nil {
+			close(l.written)
+			continue
+		}
+		// There is nowhere to report a failed write.
+		_, _ = to.Write(l.text)
+		if n := w.dropped.Swap(0); n > 0 {
+			_, _ = to.Write(report(n))
+		}
+	}
+}
+
+// report is the line that counts what was dropped.
+func report(n int64) []byte {
+	b, err := json.Marshal(struct {
+		Level, Message string
+		Dropped        int64
+	}{"warning", "log lines dropped", n})
+	if err != nil {
+		return nil
+	}
+	return append(b, '\n')
+}
+
+func (w *writer) flush() {
+	written := make(chan struct{})
+	select {
+	case w.lines <- line{written: written}:
+	case <-time.After(flushTimeout):
+		return
+	}
+	select {
+	case <-written:
+	case <-time.After(flushTimeout):
+	}
+}
--- /dev/null
+++ b/logs/logs_test.go
@@ -0,0 +1,39 @@
+package logs
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+)
+
+// blocked is an output that takes nothing until it is released.
+type blocked struct {
+	bytes.Buffer
+	release chan struct{}
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return b.Buffer.Write(p)
+}
+
+// TestReaderStops shows that a reader that takes nothing delays no line, and
+// that what was dropped is counted.
+func TestReaderStops(t *testing.T) {
+	out := &blocked{release: make(chan struct{})}
+	w := newWriter(out)
+	start := time.Now()
+	for range 3 * ring {
+		_, _ = io.WriteString(w, "line\n")
+	}
+	if d := time.Since(start); d > time.Second {
+		t.Errorf("lines took %s", d)
+	}
+	close(out.release)
+	w.flush()
+	if got := out.String(); !strings.Contains(got, "line\n") || !strings.Contains(got, `"Dropped":`) {
+		t.Errorf("wrote %d bytes without a count of what was dropped", len(got))
+	}
+}
--- /dev/null
+++ b/relay/errors.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/transport"
+)
+
+// PlaceError reports that no endpoint of a pool is known.
+type PlaceError struct {
+	Pool string
+}
+
+// Error names the pool.
+func (e *PlaceError) Error() string {
+	return "no endpoint serves " + e.Pool
+}
+
+// FullError reports an endpoint that did not run a request.
+type FullError struct {
+	Status     int
+	RetryAfter time.Duration
+	// Elsewhere is true where another endpoint has the address now.
+	Elsewhere bool
+}
+
+// Error gives the status.
+func (e *FullError) Error() string {
+	if e.Elsewhere {
+		return "another endpoint has the address"
+	}
+	return fmt.Sprintf("endpoint did not run the request, status %d", e.Status)
+}
+
+// StatusError reports an endpoint that failed a request.
+type StatusError struct {
+	Status int
+}
+
+// Error gives the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("endpoint answered with status %d", e.Status)
+}
+
+// SilentError reports an endpoint that sent nothing for too long.
+type SilentError struct {
+	After time.Duration
+}
+
+// Error says for how long.
+func (e *SilentError) Error() string {
+	return fmt.Sprintf("endpoint sent nothing for %s", e.After)
+}
+
+// GoneError reports a caller whose connection broke.
+type GoneError struct {
+	Cause error
+}
+
+// Error gives the cause.
+func (e *GoneError) Error() string {
+	return "caller is gone: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *GoneError) Unwrap() error {
+	return e.Cause
+}
+
+// LongAnswerError reports an answer above the bound.
+type LongAnswerError struct{}
+
+// Error names the bound.
+func (*LongAnswerError) Error() string {
+	return fmt.Sprintf("answer of more than %d bytes", maxWhole)
+}
+
+// reasonOf returns the reason for a refusal after a failed try.
+func reasonOf(err error) Reason {
+	var none *PlaceError
+	var taken *FullError
+	var unsent *transport.DialError
+	switch {
+	case errors.As(err, &none):
+		return NoEndpoint
+	case errors.As(err, &taken):
+		return Busy
+	case errors.As(err, &unsent):
+		return Unreachable
+	}
+	return Unknown
+}
+
+// comeBack is when a caller may come back after a failed try that ran nothing.
+func comeBack(err error) time.Duration {
+	var taken *FullError
+	if errors.As(err, &taken) {
+		return max(taken.RetryAfter, busyPause)
+	}
+	return lostPause
+}
+
+// verdictOf is what the end of a try shows of its endpoint.
+func verdictOf(ctx context.Context, err error) verdict {
+	var taken *FullError
+	var status *StatusError
+	var gone *GoneError
+	var silent *SilentError
+	switch {
+	case err == nil:
+		return passed
+	case errors.As(err, &gone), errors.Is(ctx.Err(), context.Canceled):
+		return unsaid
+	case errors.As(err, &taken) && !taken.Elsewhere:
+		return full
+	case errors.As(err, &status), errors.As(err, &silent):
+		return failed
+	}
+	return unreached
+}
+
+// address returns where an endpoint is reached; pick has looked at it.
+func address(e *controlv1.Endpoint) netip.AddrPort {
+	a, err := netip.ParseAddrPort(e.GetAddress())
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return a
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,385 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ebonyreel/document"
+	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/transport"
+)
+
+const (
+	// unreadyPause, busyPause and lostPause are when callers may come back
+	// after a refusal: once a document should be known, a slot be free, an
+	// endpoint be found.
+	unreadyPause = 500 * time.Millisecond
+	busyPause    = 200 * time.Millisecond
+	lostPause    = 500 * time.Millisecond
+	// leastWork is the shortest time in which sending a request makes sense.
+	leastWork = 5 * time.Millisecond
+	// unsentTries bounds the endpoints that are dialled in vain for one request.
+	unsentTries = 4
+	// patienceTargets is the number of latency targets for which an endpoint
+	// may be silent before a repeatable request is sent elsewhere.
+	patienceTargets = 2
+	// patienceGaps is the same within a stream, in targets between events.
+	patienceGaps = 4
+	// maxWhole bounds an answer that is not a stream.
+	maxWhole = 16 << 20
+)
+
+// Fleet is what the relay follows of the system. What it returns must not be
+// changed.
+type Fleet interface {
+	// Document returns the document in force, or nil before the first one.
+	Document() *document.Document
+	// Endpoints returns the endpoints of a pool that take work or are lost.
+	Endpoints(pool string) []*controlv1.Endpoint
+	// Entries returns the number of entries known.
+	Entries() int
+}
+
+// Relay serves calls. It is safe for concurrent use.
+type Relay struct {
+	fleet  Fleet
+	sender Sender
+	// domain is the failure domain of this process.
+	domain string
+	budget Budget
+	log    *logrus.Entry
+	book   book
+	// retries maps the name of a pool to its *retries.
+	retries sync.Map
+	// stopping is true once new calls are refused.
+	stopping atomic.Bool
+	// working counts calls in flight.
+	working atomic.Int64
+	counts  *counts
+}
+
+// New returns a relay of an entry in a failure domain.
+func New(f Fleet, s Sender, domain string, b Budget, log *logrus.Entry) *Relay {
+	return &Relay{fleet: f, sender: s, domain: domain, budget: b, log: log, counts: newCounts()}
+}
+
+// Stop makes the relay refuse new calls.
+func (r *Relay) Stop() {
+	r.stopping.Store(true)
+}
+
+// Working returns the number of calls in flight.
+func (r *Relay) Working() int {
+	return int(r.working.Load())
+}
+
+// visit is one call on its way.
+type visit struct {
+	call     *Call
+	answer   Answer
+	route    document.Route
+	pool     document.Pool
+	number   uint64
+	deadline time.Time
+	// sent is the number of endpoints that the call was sent to, and unsent
+	// the number dialled in vain.
+	sent   int
+	unsent int
+	// ran is true once an endpoint may have run the call.
+	ran bool
+	// tried are the endpoints that the call was sent to.
+	tried map[string]bool
+	// begun is true once a stream to the caller has started, and last is the
+	// id of the last event passed on.
+	begun bool
+	last  string
+	// failure is an endpoint's own failure, to be passed on where no other
+	// endpoint does better.
+	failure *Reply
+	body    []byte
+}
+
+// Serve answers one call. The context ends when its caller leaves.
+func (r *Relay) Serve(ctx context.Context, c *Call, a Answer) {
+	r.working.Add(1)
+	defer r.working.Add(-1)
+	v := &visit{call: c, answer: a, last: c.LastEvent, tried: map[string]bool{}}
+	d := r.fleet.Document()
+	switch {
+	case r.stopping.Load():
+		r.refuse(v, Refusal{Reason: Stopping, RetryAfter: unreadyPause}, nil)
+		return
+	case d == nil:
+		r.refuse(v, Refusal{Reason: Unready, RetryAfter: unreadyPause}, nil)
+		return
+	}
+	v.number = d.Number
+	var ok bool
+	if v.route, ok = d.Route(c.Host, c.Path); !ok {
+		r.refuse(v, Refusal{Reason: NoRoute}, nil)
+		return
+	}
+	v.pool, _ = d.Pool(pickShare(v.route.Split))
+	v.deadline = c.Arrived.Add(time.Duration(v.route.Timeout))
+	if by := c.Arrived.Add(c.Patience); c.Patience > 0 && by.Before(v.deadline) {
+		v.deadline = by
+	}
+	r.budgetOf(v.pool.Name).request(r.budget)
+	ctx, cancel := context.WithDeadline(ctx, v.deadline)
+	defer cancel()
+	r.run(ctx, v)
+}
+
+// pickShare draws a pool by the weights of a route.
+func pickShare(all []document.Share) string {
+	total := 0
+	for _, s := range all {
+		total += s.Weight
+	}
+	n := rand.IntN(max(total, 1))
+	for _, s := range all {
+		if n -= s.Weight; n < 0 {
+			return s.Name
+		}
+	}
+	return ""
+}
+
+func (r *Relay) budgetOf(pool string) *retries {
+	b, _ := r.retries.LoadOrStore(pool, &retries{})
+	return b.(*retries)
+}
+
+// run tries a call until it is answered, refused or left by its caller.
+func (r *Relay) run(ctx context.Context, v *visit) {
+	for {
+		err := r.try(ctx, v)
+		if err == nil {
+			r.counts.answered(v)
+			return
+		}
+		if errors.Is(ctx.Err(), context.Canceled) {
+			r.left(v, err)
+			return
+		}
+		if ctx.Err() != nil || !r.again(v, err) {
+			r.giveUp(ctx, v, err)
+			return
+		}
+		r.counts.Retried.Add(1)
+	}
+}
+
+// again reports whether a call is sent once more after a failed try.
+func (r *Relay) again(v *visit, err error) bool {
+	reason := reasonOf(err)
+	var unsent *transport.DialError
+	var gone *GoneError
+	switch {
+	case errors.As(err, &gone):
+		return false
+	case errors.As(err, &unsent):
+		v.unsent++
+		return v.unsent < unsentTries
+	case reason == NoEndpoint:
+		return false
+	case !reason.NotRun() && !v.route.Repeatable():
+		return false
+	}
+	enough := time.Until(v.deadline) > leastWork
+	return enough && v.sent < v.route.Attempts && r.budgetOf(v.pool.Name).take(r.budget, r.fleet.Entries())
+}
+
+// giveUp ends a call with its final answer, at once.
+func (r *Relay) giveUp(ctx context.Context, v *visit, err error) {
+	switch {
+	case v.begun:
+		r.counts.Broken.Add(1)
+		r.say(v, err).Warn("stream broken off")
+		v.answer.Abort()
+	case v.failure != nil:
+		r.say(v, err).WithField("Status", v.failure.Status).Info("failure of the endpoint passed on")
+		r.sayLost(v, v.answer.Whole(v.failure, v.body))
+	case v.ran && ctx.Err() != nil:
+		r.refuse(v, Refusal{Reason: TimedOut}, err)
+	case v.ran:
+		r.refuse(v, Refusal{Reason: Unknown}, err)
+	case ctx.Err() != nil:
+		r.refuse(v, Refusal{Reason: Late}, err)
+	default:
+		r.refuse(v, Refusal{Reason: reasonOf(err), RetryAfter: comeBack(err)}, err)
+	}
+}
+
+func (r *Relay) refuse(v *visit, f Refusal, cause error) {
+	r.counts.refused(f.Reason)
+	r.say(v, cause).WithFields(logrus.Fields{"Reason": string(f.Reason), "RetryAfter": f.RetryAfter.String()}).Warn("request refused")
+	r.sayLost(v, v.answer.Refuse(f))
+}
+
+// left notes a call whose caller has left.
+func (r *Relay) left(v *visit, err error) {
+	r.counts.Left.Add(1)
+	r.say(v, err).Info("caller has left")
+	v.answer.Abort()
+}
+
+// sayLost notes an answer that could not be written.
+func (r *Relay) sayLost(v *visit, err error) {
+	if err != nil {
+		r.say(v, err).Info("answer not written")
+	}
+}
+
+// say returns a logger with the inputs of the decisions on a call.
+func (r *Relay) say(v *visit, err error) *logrus.Entry {
+	e := r.log.WithFields(logrus.Fields{
+		"Request": bounded(v.call.ID), "Route": v.route.Name, "Pool": v.pool.Name, "Document": v.number, "Sent": v.sent, "Unsent": v.unsent,
+		"Elapsed": time.Since(v.call.Arrived).String(), "LastEvent": bounded(v.last),
+	})
+	if err != nil {
+		e = e.WithError(err)
+	}
+	return e
+}
+
+// loggedBytes bounds a text from outside in a log line.
+const loggedBytes = 64
+
+func bounded(s string) string {
+	return s[:min(len(s), loggedBytes)]
+}
+
+// try sends a call to one endpoint and carries the answer back. A nil error
+// means that the caller has its final answer.
+func (r *Relay) try(ctx context.Context, v *visit) error {
+	c := choice{now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_DECODE, tried: v.tried}
+	e := r.book.pick(r.fleet.Endpoints(v.pool.Name), c)
+	if e == nil {
+		return &PlaceError{Pool: v.pool.Name}
+	}
+	start := time.Now()
+	latency, err := r.send(ctx, v, e, start)
+	r.book.end(e, verdictOf(ctx, err), latency)
+	if err != nil {
+		r.say(v, err).WithField("Endpoint", e.GetName()).Info("try failed")
+	}
+	return err
+}
+
+// send makes one try and returns the time up to the answer or its first event.
+func (r *Relay) send(ctx context.Context, v *visit, e *controlv1.Endpoint, start time.Time) (time.Duration, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	w := newWatch(r.patience(v), cancel)
+	defer w.stop()
+	v.tried[e.GetName()] = true
+	reply, err := r.sender.Send(ctx, v.call, Try{
+		Endpoint: Endpoint{Name: e.GetName(), Address: address(e)}, Number: v.sent + 1, Deadline: v.deadline, LastEvent: v.last,
+	})
+	var unsent *transport.DialError
+	if errors.As(err, &unsent) {
+		return 0, err
+	}
+	v.sent++
+	if err != nil {
+		v.ran = true
+		return 0, silenced(ctx, err)
+	}
+	defer func() { _ = reply.Body.Close() }()
+	if reply.NotRun || reply.Elsewhere {
+		return 0, &FullError{Status: reply.Status, RetryAfter: reply.RetryAfter, Elsewhere: reply.Elsewhere}
+	}
+	v.ran = true
+	if reply.Events {
+		return r.stream(v, reply, w, start)
+	}
+	return r.whole(v, reply, start)
+}
+
+// patience is how long an endpoint may be silent before a call is sent
+// elsewhere; zero where it can't be.
+func (r *Relay) patience(v *visit) time.Duration {
+	if !v.route.Repeatable() || v.sent+1 >= v.route.Attempts {
+		return 0
+	}
+	return max(patienceTargets*time.Duration(v.route.Target), time.Until(v.deadline)/3)
+}
+
+// whole carries an answer that is not a stream.
+func (r *Relay) whole(v *visit, reply *Reply, start time.Time) (time.Duration, error) {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxWhole+1))
+	if err == nil && len(body) > maxWhole {
+		err = &LongAnswerError{}
+	}
+	if err != nil {
+		return 0, err
+	}
+	if v.begun {
+		return 0, &StatusError{Status: reply.Status}
+	}
+	if reply.Status >= 500 && v.route.Repeatable() {
+		v.failure, v.body = reply, body
+		return 0, &StatusError{Status: reply.Status}
+	}
+	latency := time.Since(start)
+	r.counts.latency(v, time.Since(v.call.Arrived))
+	r.sayLost(v, v.answer.Whole(reply, body))
+	return latency, nil
+}
+
+// stream passes events on as they come.
+func (r *Relay) stream(v *visit, reply *Reply, w *watch, start time.Time) (time.Duration, error) {
+	var latency time.Duration
+	in := newEvents(reply.Body, v.last)
+	for {
+		event, err := in.next()
+		if errors.Is(err, io.EOF) {
+			return latency, r.endStream(v, reply)
+		}
+		if err != nil {
+			return latency, w.because(err)
+		}
+		if latency == 0 {
+			latency = time.Since(start)
+		}
+		if err := r.pass(v, reply, event); err != nil {
+			return latency, err
+		}
+		v.last = in.id
+		w.reset(patienceGaps * time.Duration(v.route.Gap))
+	}
+}
+
+// pass sends one event to the caller.
+func (r *Relay) pass(v *visit, reply *Reply, event []byte) error {
+	if !v.begun {
+		if err := v.answer.Begin(reply); err != nil {
+			return &GoneError{Cause: err}
+		}
+		v.begun = true
+		r.counts.latency(v, time.Since(v.call.Arrived))
+	}
+	if err := v.answer.Event(event); err != nil {
+		return &GoneError{Cause: err}
+	}
+	return nil
+}
+
+// endStream ends a stream of which all events were passed on.
+func (r *Relay) endStream(v *visit, reply *Reply) error {
+	if v.begun {
+		return nil
+	}
+	if err := v.answer.Begin(reply); err != nil {
+		return &GoneError{Cause: err}
+	}
+	return nil
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -7,10 +7,12 @@
 	"net/netip"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/joomcode/errorx"
 
 	"ebonyreel/access"
+	"ebonyreel/document"
 	"ebonyreel/faults"
 	"ebonyreel/placement"
 )
@@ -18,6 +20,10 @@
 // defaultWatchHistory is the number of events kept for watchers that resume.
 const defaultWatchHistory = 10_000
 
+// defaultRetryBudget allows a fifth of the requests to be sent again, and a few
+// more after a quiet time.
+var defaultRetryBudget = RetryBudget{Ratio: 0.2, Slack: 50, Window: document.Duration(10 * time.Second)}
+
 // checker collects faults of values.
 type checker struct {
 	faults.List
@@ -25,6 +31,24 @@
 	listening map[netip.AddrPort]string
 }
 
+func (c *checker) protocol(v string) {
+	if v != OpenAI && v != Platform {
+		c.Text("Protocol", v, "OpenAI or Platform")
+	}
+}
+
+func (c *checker) memory(megabytes int) {
+	if megabytes < 0 {
+		c.Add("MemoryMegabytes", megabytes, "zero or a number above it")
+	}
+}
+
+func (c *checker) budget(b RetryBudget) {
+	if b.Ratio < 0 || b.Slack < 0 || b.Window <= 0 {
+		c.Add("RetryBudget", fmt.Sprintf("%v, %v, %s", b.Ratio, b.Slack, time.Duration(b.Window)), "a ratio and a slack from 0, and a window above 0")
+	}
+}
+
 func (c *checker) text(field, v string) {
 	if v == "" {
 		c.Text(field, v, "a text")
@@ -137,7 +161,7 @@
 // ReadEntry reads and checks the settings of an entry. The error is a
 // *CheckError where the file could be read.
 func ReadEntry(file string) (Entry, error) {
-	s := Entry{Policy: placement.Reserve}
+	s := Entry{Policy: placement.Reserve, Protocol: OpenAI, RetryBudget: defaultRetryBudget}
 	err := read(file, &s, func(c *checker) {
 		c.text("Name", s.Name)
 		c.text("Environment", s.Environment)
@@ -150,6 +174,9 @@
 		if _, ok := placement.New(s.Policy); !ok {
 			c.Text("Policy", s.Policy, "reserve, round-robin or least-loaded")
 		}
+		c.protocol(s.Protocol)
+		c.memory(s.MemoryMegabytes)
+		c.budget(s.RetryBudget)
 	})
 	return s, err
 }
@@ -177,7 +204,7 @@
 // ReadControl reads and checks the settings of a control process. The error
 // is a *CheckError where the file could be read.
 func ReadControl(file string) (Control, error) {
-	s := Control{WatchHistory: defaultWatchHistory}
+	s := Control{WatchHistory: defaultWatchHistory, Protocol: OpenAI}
 	err := read(file, &s, func(c *checker) {
 		c.text("Name", s.Name)
 		c.text("FailureDomain", s.FailureDomain)
@@ -189,6 +216,11 @@
 			c.Add("WatchHistory", s.WatchHistory, "a number from 1")
 		}
 		c.cluster(s.Name, s.Cluster)
+		c.protocol(s.Protocol)
+		c.memory(s.MemoryMegabytes)
+		if s.Protocol == Platform {
+			c.text("Environment", s.Environment)
+		}
 	})
 	if len(s.Cluster) == 0 {
 		s.Cluster = []ControlHost{{Name: s.Name, Address: s.Peers}}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,6 +6,7 @@
 	"net/netip"
 
 	"ebonyreel/access"
+	"ebonyreel/document"
 	"ebonyreel/faults"
 	"ebonyreel/transport"
 )
@@ -34,8 +35,29 @@
 	CallersPrivateKeyFile  string
 	// DecisionFile receives a JSON line for each request; empty means none.
 	DecisionFile string
+	// Protocol is what callers speak: OpenAI or Platform.
+	Protocol string
+	// RetryBudget bounds what all entries together send again to one pool.
+	RetryBudget RetryBudget `json:",omitzero"`
+	// MemoryMegabytes is the memory of the host that the process may use; zero
+	// means that there is no bound.
+	MemoryMegabytes int
 }
 
+// RetryBudget bounds retries: in any window, Ratio times the requests and Slack
+// more.
+type RetryBudget struct {
+	Ratio  float64
+	Slack  float64
+	Window document.Duration
+}
+
+// The protocols towards callers, endpoints and operators.
+const (
+	OpenAI   = "OpenAI"
+	Platform = "Platform"
+)
+
 // Agent is the settings of an agent.
 type Agent struct {
 	// Name is unique among the processes of an environment.
@@ -74,6 +96,14 @@
 	// on each; empty means that this host is alone. When no host has a state
 	// yet, the first one begins it.
 	Cluster []ControlHost
+	// Protocol is what endpoints and operators speak on the address Peers beside
+	// the control service: OpenAI means nothing else, or Platform.
+	Protocol string
+	// Environment is that of the endpoints and operators of Platform.
+	Environment string
+	// MemoryMegabytes is the memory of the host that the process may use; zero
+	// means that there is no bound.
+	MemoryMegabytes int
 	// Security is towards the other processes and operators.
 	Security Security `json:",omitzero"`
 }
--- a/state/document.go
+++ b/state/document.go
@@ -92,7 +92,7 @@
 func (s *State) publishDocument(d *controlv1.Document, parts []document.Part) {
 	env := d.GetEnvironment()
 	manifest := proto.CloneOf(d)
-	manifest.Resolved = nil
+	manifest.Resolved, manifest.Source = nil, nil
 	listed := map[string]bool{}
 	for _, p := range parts {
 		listed[p.Name] = true
--- a/state/state.go
+++ b/state/state.go
@@ -80,6 +80,12 @@
 		return s.finish(now, k.Finish)
 	case *controlv1.Command_AddStrikes:
 		return s.addStrikes(now, k.AddStrikes)
+	case *controlv1.Command_AnnounceEndpoint:
+		return s.announceEndpoint(now, k.AnnounceEndpoint)
+	case *controlv1.Command_RemoveEndpoint:
+		return s.removeEndpoint(now, k.RemoveEndpoint)
+	case *controlv1.Command_LapseEndpoint:
+		return s.lapseEndpoint(now, k.LapseEndpoint)
 	}
 	return nil, &CommandError{Kind: fmt.Sprintf("%T", c.GetKind())}
 }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -22,6 +22,9 @@
 	pingAfter   = time.Second
 	pingTimeout = time.Second
 	dialTimeout = time.Second
+	// endpointDialTimeout is shorter: another endpoint can take the request, and
+	// a lost packet is sent again only after a second.
+	endpointDialTimeout = 250 * time.Millisecond
 	// headerTimeout bounds the reading of a request's headers.
 	headerTimeout = 5 * time.Second
 	maxStreams    = 10_000
@@ -60,6 +63,13 @@
 	return c, nil
 }
 
+// DialEndpoint connects to an endpoint. The error is a *DialError.
+func DialEndpoint(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, endpointDialTimeout)
+	defer cancel()
+	return dial(ctx, network, address)
+}
+
 // NewClient returns a client for the RPCs between processes, without TLS.
 func NewClient() *http.Client {
 	return NewSecureClient(nil)
@@ -92,6 +102,14 @@
 	}
 }
 
+// NewCallersServer returns a server of HTTP/1.1 for callers, whose connections
+// may be idle for any time.
+func NewCallersServer(h http.Handler) *http.Server {
+	p := &http.Protocols{}
+	p.SetHTTP1(true)
+	return &http.Server{Handler: h, Protocols: p, ReadHeaderTimeout: headerTimeout, ErrorLog: log.New(counter{}, "", 0)}
+}
+
 // connectionErrors counts what servers say of connections that failed, such as
 // TLS handshakes.
 var connectionErrors = expvar.NewInt("ConnectionErrors")
