--- a/agents/pool.go
+++ b/agents/pool.go
@@ -190,6 +190,12 @@
 	}
 }
 
+// ReleaseNow asks an agent to forget an attempt, and returns once it has or its
+// answer is late.
+func (p *Pool) ReleaseNow(r *Peer, a *agentv1.Attempt) {
+	p.sendRelease(context.Background(), release{peer: r, attempt: a})
+}
+
 // RunReleases sends releases until the context ends, a few at once.
 func (p *Pool) RunReleases(ctx context.Context) {
 	slots := make(chan struct{}, releasesAtOnce)
--- a/cmd/entry/platform.go
+++ b/cmd/entry/platform.go
@@ -16,7 +16,8 @@
 func (p parts) platform(context.Context, func()) (work, error) {
 	s := p.settings
 	budget := relay.Budget{Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack, Window: time.Duration(s.RetryBudget.Window)}
-	r := relay.New(p.view, platform.NewWorker(), s.FailureDomain, budget, p.log)
+	w := platform.NewWorker()
+	r := relay.New(p.view, w, w, s.FailureDomain, budget, p.log)
 	gate := entry.NewGate(p.view, p.log)
 	m := http.NewServeMux()
 	platform.AddReadiness(m, gate.Ready)
--- a/document/route.go
+++ b/document/route.go
@@ -44,6 +44,8 @@
 	MemoryTokens int
 	// HandleLives is how long the result of a prefill is kept for a decode.
 	HandleLives Duration
+	// HoldLives is the longest reservation of memory before a request.
+	HoldLives Duration
 }
 
 // Route declares where the requests below one path of one host go.
--- a/entry/pin.go
+++ b/entry/pin.go
@@ -17,7 +17,7 @@
 const (
 	// copiesSpread is the number of endpoints of a role that may run copies of
 	// one content at the same time.
-	copiesSpread = 2
+	copiesSpread = 1
 	// placeTimeout bounds one question where a copy may run.
 	placeTimeout = time.Second
 	// condemnedRetry is when the caller of a condemned content may come back.
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -92,7 +93,7 @@
 	if g.suspect {
 		picked = picked[:1]
 	}
-	h, err := s.first(ctx, g, at, c, picked)
+	h, settled, err := s.first(ctx, g, at, c, picked)
 	if err != nil {
 		return h, err
 	}
@@ -103,26 +104,30 @@
 	if err != nil || len(elsewhere) == 0 {
 		return h, err
 	}
-	return s.first(ctx, g, at, c, elsewhere)
+	// An agent that was asked before must not take the end of that for the end
+	// of the next reservation, which has the same attempt.
+	settled.Wait()
+	h, _, err = s.first(ctx, g, at, c, elsewhere)
+	return h, err
 }
 
 // first asks a few agents for a promise and binds to the first that grants
-// it. The others are released.
-func (s *Server) first(ctx context.Context, g *generation, at *agentv1.Attempt, c loads, picked []int) (held, error) {
+// it. The others are released; the group is done once they know.
+func (s *Server) first(ctx context.Context, g *generation, at *agentv1.Attempt, c loads, picked []int) (held, *sync.WaitGroup, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	bids := make(chan bid, len(picked))
+	bids, settled := make(chan bid, len(picked)), &sync.WaitGroup{}
 	for _, i := range picked {
-		go s.bid(ctx, g, at, c.members[i], bids)
+		settled.Go(func() { s.bid(ctx, g, at, c.members[i], bids) })
 	}
 	asked := c.choice(g.number, picked, "")
 	won, err := g.firstGrant(bids, len(picked))
 	if err == nil {
 		asked.Chosen = won.held.peer.Name
-		go s.releaseLosers(bids, len(picked), won, at)
+		settled.Go(func() { s.releaseLosers(bids, len(picked), won, at) })
 	}
 	g.visit.decision.Choose(asked)
-	return won.held, err
+	return won.held, settled, err
 }
 
 // grantedBid is the first grant, and how many answers were read to get it.
@@ -151,7 +156,7 @@
 func (s *Server) releaseLosers(bids <-chan bid, n int, won grantedBid, at *agentv1.Attempt) {
 	for range n - won.read {
 		if b := <-bids; b.err == nil {
-			s.agents.Release(b.held.peer, at)
+			s.agents.ReleaseNow(b.held.peer, at)
 		}
 	}
 }
@@ -166,7 +171,7 @@
 	id, err := s.wait(ctx, g, at, p)
 	if err != nil && ctx.Err() != nil {
 		// Its grant may have been on the way.
-		s.agents.Release(p, at)
+		s.agents.ReleaseNow(p, at)
 	}
 	bids <- bid{held: held{peer: p, reservation: id}, err: err}
 }
--- a/relay/book.go
+++ b/relay/book.go
@@ -55,7 +55,10 @@
 
 // page is what is known of one endpoint.
 type page struct {
-	inFlight int
+	// load is the sum of the weights of the calls in flight, and calls their
+	// number.
+	load  float64
+	calls int
 	// latency is the running mean of successful calls; zero before the first.
 	latency time.Duration
 	// failing is the running rate of failures, from 0 to 1.
@@ -90,6 +93,8 @@
 	domain string
 	// role is the wanted one; an endpoint without stages serves any.
 	role controlv1.Role
+	// weight is 1 for a request to a plain endpoint, else its tokens.
+	weight float64
 	// tried are the endpoints that the request was sent to before.
 	tried map[string]bool
 }
@@ -117,7 +122,8 @@
 		}
 	}
 	if best != nil {
-		b.page(keyOf(best)).inFlight++
+		p := b.page(keyOf(best))
+		p.load, p.calls = p.load+c.weight, p.calls+1
 	}
 	return best
 }
@@ -131,7 +137,7 @@
 
 func (b *book) cost(e *controlv1.Endpoint, c choice) float64 {
 	p := b.page(keyOf(e))
-	cost := float64(p.inFlight) + 1
+	cost := p.load/c.weight + 1
 	if e.GetFailureDomain() != c.domain {
 		cost += farCost
 	}
@@ -163,7 +169,7 @@
 	}
 	b.swept = now
 	for k, p := range b.pages {
-		if p.inFlight == 0 && now.Sub(p.seen) > forgetAfter {
+		if p.calls == 0 && now.Sub(p.seen) > forgetAfter {
 			delete(b.pages, k)
 		}
 	}
@@ -186,12 +192,12 @@
 )
 
 // end ends a call at an endpoint. latency is up to the answer, or up to the
-// first event of a stream; zero where there was none.
-func (b *book) end(e *controlv1.Endpoint, v verdict, latency time.Duration) {
+// first event of a stream; zero where there was none. weight is that of pick.
+func (b *book) end(e *controlv1.Endpoint, v verdict, latency time.Duration, weight float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now, p := time.Now(), b.page(keyOf(e))
-	p.inFlight--
+	p.load, p.calls = p.load-weight, p.calls-1
 	if v == unsaid {
 		return
 	}
--- a/relay/call.go
+++ b/relay/call.go
@@ -16,7 +16,9 @@
 	// ID is unique to the request; endpoints echo it.
 	ID     string
 	Method string
-	Host   string
+	// Authority is the host as it was sent, and Host without its port.
+	Authority string
+	Host      string
 	// Path selects the route; Target is the path with its query, as it came.
 	Path   string
 	Target string
@@ -69,6 +71,11 @@
 	Deadline time.Time
 	// LastEvent is the event after which a stream goes on.
 	LastEvent string
+	// Source is the result of the call's prefill; it is zero where the engine
+	// computes the prompt itself.
+	Source Handle
+	// Hold is the reservation of the engine's memory; it may be empty.
+	Hold string
 }
 
 // Reply is the beginning of an endpoint's answer.
--- a/relay/errors.go
+++ b/relay/errors.go
@@ -124,11 +124,12 @@
 	return unreached
 }
 
-// address returns where an endpoint is reached; pick has looked at it.
-func address(e *controlv1.Endpoint) netip.AddrPort {
+// endpointOf returns where an endpoint is reached; pick has looked at its
+// address.
+func endpointOf(e *controlv1.Endpoint) Endpoint {
 	a, err := netip.ParseAddrPort(e.GetAddress())
 	if err != nil {
-		return netip.AddrPort{}
+		return Endpoint{Name: e.GetName()}
 	}
-	return a
+	return Endpoint{Name: e.GetName(), Address: a}
 }
--- /dev/null
+++ b/relay/generate.go
@@ -0,0 +1,212 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	controlv1 "ebonyreel/proto/control/v1"
+)
+
+const (
+	// outputShare is the part of the expected output for which memory is asked:
+	// requests that run together are at different points of their answers.
+	outputShare = 0.7
+	// usualOutput is the output that is expected of a request that declares
+	// none, in tokens.
+	usualOutput = 512
+	// holdTries bounds the engines asked for memory in one turn.
+	holdTries = 3
+	// turnPause is the time between two turns while all engines are full; a
+	// batch gives memory back every few tens of milliseconds.
+	turnPause = 25 * time.Millisecond
+	// decodeStart is the usual time between the grant of memory and the first
+	// event, the prefill included.
+	decodeStart = 250 * time.Millisecond
+	// holdTimeout bounds the call that asks for memory, and dropTimeout the
+	// one that gives it back.
+	holdTimeout = 300 * time.Millisecond
+	dropTimeout = time.Second
+)
+
+// Handle names the result of a prefill.
+type Handle struct {
+	// At is the engine that has it.
+	At Endpoint
+	ID string
+}
+
+// Engines are the calls to model engines beside Send. Their errors are those of
+// Send, and a *FullError where an engine has no room.
+type Engines interface {
+	// Prefill computes the prompt of a call.
+	Prefill(ctx context.Context, c *Call, t Try) (Handle, error)
+	// Free drops the result of a prefill.
+	Free(ctx context.Context, h Handle) error
+	// Hold reserves a slot and memory for a time.
+	Hold(ctx context.Context, e Endpoint, tokens int, lives time.Duration) (string, error)
+	// Drop gives a reservation back.
+	Drop(ctx context.Context, e Endpoint, hold string) error
+}
+
+// seat is a place in an engine's batch for one request.
+type seat struct {
+	endpoint *controlv1.Endpoint
+	hold     string
+	// tokens is the memory it takes.
+	tokens int
+}
+
+// generates reports whether a call is placed by its memory.
+func (v *visit) generates() bool {
+	return v.route.Generates && v.pool.Engine.Slots > 0 && v.call.Prompt.Tokens > 0
+}
+
+// memory is the number of tokens that a request takes of an engine's memory.
+func (v *visit) memory() int {
+	p := v.call.Prompt
+	output := p.ExpectedOutput
+	if output == 0 {
+		output = usualOutput
+	}
+	if p.MaxOutput > 0 {
+		output = min(output, p.MaxOutput)
+	}
+	return p.Tokens + int(outputShare*float64(output))
+}
+
+// generate makes one try at a model engine: memory is reserved first, then the
+// prompt is computed apart, then the answer is decoded where the memory is.
+func (r *Relay) generate(ctx context.Context, v *visit) error {
+	s, err := r.seat(ctx, v)
+	if err != nil {
+		return err
+	}
+	var h Handle
+	if v.last == "" {
+		h = r.prefill(ctx, v)
+	}
+	start := time.Now()
+	t := r.tryAt(v, s.endpoint)
+	t.Source, t.Hold = h, s.hold
+	latency, err := r.send(ctx, v, t, start)
+	r.book.end(s.endpoint, verdictOf(ctx, err), latency, float64(s.tokens))
+	if err != nil {
+		r.say(v, err).WithFields(logrus.Fields{"Endpoint": t.Endpoint.Name, "Prefill": h.At.Name, "Hold": s.hold}).Info("try failed")
+		go r.giveBack(t)
+	}
+	return err
+}
+
+// giveBack frees what a failed try may not have used.
+func (r *Relay) giveBack(t Try) {
+	ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
+	defer cancel()
+	if t.Hold != "" {
+		if err := r.engines.Drop(ctx, t.Endpoint, t.Hold); err != nil {
+			r.log.WithError(err).WithField("Endpoint", t.Endpoint.Name).Debug("memory not given back, its time will pass")
+		}
+	}
+	if t.Source.ID != "" {
+		if err := r.engines.Free(ctx, t.Source); err != nil {
+			r.log.WithError(err).WithField("Endpoint", t.Source.At.Name).Debug("prefill not freed, its time will pass")
+		}
+	}
+}
+
+// seat waits for memory at one of the engines.
+func (r *Relay) seat(ctx context.Context, v *visit) (seat, error) {
+	l := r.lineOf(v.pool.Name)
+	target := v.call.Arrived.Add(time.Duration(v.route.Target) - decodeStart)
+	for {
+		if err := l.enter(ctx, target, v.route.Priority); err != nil {
+			return seat{}, &FullError{}
+		}
+		s, err := r.ask(ctx, v)
+		var taken *FullError
+		if errors.As(err, &taken) {
+			pause(ctx, turnPause)
+		}
+		l.leave()
+		if !errors.As(err, &taken) || ctx.Err() != nil {
+			return s, err
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// ask asks a few engines for memory, the least loaded first.
+func (r *Relay) ask(ctx context.Context, v *visit) (seat, error) {
+	s := seat{tokens: v.memory()}
+	asked := map[string]bool{}
+	for name := range v.tried {
+		asked[name] = true
+	}
+	var last error
+	for range holdTries {
+		e := r.book.pick(r.fleet.Endpoints(v.pool.Name), choice{
+			now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_DECODE, tried: asked, weight: float64(s.tokens),
+		})
+		if e == nil {
+			return seat{}, &PlaceError{Pool: v.pool.Name}
+		}
+		hold, err := r.hold(ctx, v, e, s.tokens)
+		if err == nil {
+			s.endpoint, s.hold = e, hold
+			return s, nil
+		}
+		r.book.end(e, verdictOf(ctx, err), 0, float64(s.tokens))
+		asked[e.GetName()], last = true, err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	var taken *FullError
+	if !errors.As(last, &taken) {
+		// An engine that can't be reached is no reason to give up: others may
+		// have room in a moment.
+		last = &FullError{}
+	}
+	return seat{}, last
+}
+
+func (r *Relay) hold(ctx context.Context, v *visit, e *controlv1.Endpoint, tokens int) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	return r.engines.Hold(ctx, endpointOf(e), tokens, time.Duration(v.pool.Engine.HoldLives))
+}
+
+// prefill computes the prompt at an engine of the prefill stage. Where none
+// does, the engine that decodes computes it too.
+func (r *Relay) prefill(ctx context.Context, v *visit) Handle {
+	weight := float64(v.call.Prompt.Tokens)
+	e := r.book.pick(r.fleet.Endpoints(v.pool.Name), choice{
+		now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_PREFILL, weight: weight,
+	})
+	if e == nil {
+		return Handle{}
+	}
+	start := time.Now()
+	h, err := r.engines.Prefill(ctx, v.call, r.tryAt(v, e))
+	r.book.end(e, verdictOf(ctx, err), time.Since(start), weight)
+	if err != nil {
+		r.say(v, err).WithField("Endpoint", e.GetName()).Info("prefill failed")
+		return Handle{}
+	}
+	return h
+}
+
+func (r *Relay) lineOf(pool string) *line {
+	l, _ := r.lines.LoadOrStore(pool, &line{})
+	return l.(*line)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,8 +49,9 @@
 
 // Relay serves calls. It is safe for concurrent use.
 type Relay struct {
-	fleet  Fleet
-	sender Sender
+	fleet   Fleet
+	sender  Sender
+	engines Engines
 	// domain is the failure domain of this process.
 	domain string
 	budget Budget
@@ -58,6 +59,8 @@
 	book   book
 	// retries maps the name of a pool to its *retries.
 	retries sync.Map
+	// lines maps the name of a pool to its *line.
+	lines sync.Map
 	// stopping is true once new calls are refused.
 	stopping atomic.Bool
 	// working counts calls in flight.
@@ -66,8 +69,8 @@
 }
 
 // New returns a relay of an entry in a failure domain.
-func New(f Fleet, s Sender, domain string, b Budget, log *logrus.Entry) *Relay {
-	return &Relay{fleet: f, sender: s, domain: domain, budget: b, log: log, counts: newCounts()}
+func New(f Fleet, s Sender, e Engines, domain string, b Budget, log *logrus.Entry) *Relay {
+	return &Relay{fleet: f, sender: s, engines: e, domain: domain, budget: b, log: log, counts: newCounts()}
 }
 
 // Stop makes the relay refuse new calls.
@@ -244,6 +247,9 @@
 		"Request": bounded(v.call.ID), "Route": v.route.Name, "Pool": v.pool.Name, "Document": v.number, "Sent": v.sent, "Unsent": v.unsent,
 		"Elapsed": time.Since(v.call.Arrived).String(), "LastEvent": bounded(v.last),
 	})
+	if p := v.call.Prompt; p.Tokens > 0 {
+		e = e.WithFields(logrus.Fields{"PromptTokens": p.Tokens, "MaxOutput": p.MaxOutput, "ExpectedOutput": p.ExpectedOutput})
+	}
 	if err != nil {
 		e = e.WithError(err)
 	}
@@ -260,30 +266,34 @@
 // try sends a call to one endpoint and carries the answer back. A nil error
 // means that the caller has its final answer.
 func (r *Relay) try(ctx context.Context, v *visit) error {
-	c := choice{now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_DECODE, tried: v.tried}
+	if v.generates() {
+		return r.generate(ctx, v)
+	}
+	c := choice{now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_DECODE, tried: v.tried, weight: 1}
 	e := r.book.pick(r.fleet.Endpoints(v.pool.Name), c)
 	if e == nil {
 		return &PlaceError{Pool: v.pool.Name}
 	}
-	start := time.Now()
-	latency, err := r.send(ctx, v, e, start)
-	r.book.end(e, verdictOf(ctx, err), latency)
+	latency, err := r.send(ctx, v, r.tryAt(v, e), time.Now())
+	r.book.end(e, verdictOf(ctx, err), latency, 1)
 	if err != nil {
 		r.say(v, err).WithField("Endpoint", e.GetName()).Info("try failed")
 	}
 	return err
 }
 
+func (r *Relay) tryAt(v *visit, e *controlv1.Endpoint) Try {
+	return Try{Endpoint: endpointOf(e), Number: v.sent + 1, Deadline: v.deadline, LastEvent: v.last}
+}
+
 // send makes one try and returns the time up to the answer or its first event.
-func (r *Relay) send(ctx context.Context, v *visit, e *controlv1.Endpoint, start time.Time) (time.Duration, error) {
+func (r *Relay) send(ctx context.Context, v *visit, t Try, start time.Time) (time.Duration, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := newWatch(r.patience(v), cancel)
 	defer w.stop()
-	v.tried[e.GetName()] = true
-	reply, err := r.sender.Send(ctx, v.call, Try{
-		Endpoint: Endpoint{Name: e.GetName(), Address: address(e)}, Number: v.sent + 1, Deadline: v.deadline, LastEvent: v.last,
-	})
+	v.tried[t.Endpoint.Name] = true
+	reply, err := r.sender.Send(ctx, v.call, t)
 	var unsent *transport.DialError
 	if errors.As(err, &unsent) {
 		return 0, err
