--- a/cmd/control/command.go
+++ b/cmd/control/command.go
@@ -70,7 +70,10 @@
 	go func() { failed <- transport.ServeSecure(base, peers, s.Peers, security.Certificates) }()
 	go func() { failed <- transport.Serve(base, operators, s.Operators) }()
 	go process.Reload(base, file, log, func() error {
-		_, err := settings.ReadControl(file)
+		changed, err := settings.ReadControl(file)
+		if err == nil {
+			store.Seed(changed.Seeds)
+		}
 		return err
 	})
 	log.WithField("Peers", s.Peers.String()).Info("started")
--- a/control/inputs.go
+++ b/control/inputs.go
@@ -38,10 +38,10 @@
 	l.waiters[index] = waiter{term: term, reply: p.reply}
 }
 
-// founded reports whether more than half of the listed hosts count in the
-// quorum. Before that the loss of one disk could be the loss of everything.
+// founded reports whether as many hosts count as the loss of a disk takes, or
+// did so once, after which the log has commands.
 func (l *loop) founded() bool {
-	return l.voters() > len(l.peers.hosts)/2
+	return l.voters() >= l.store.founders || l.store.used()
 }
 
 func (l *loop) voters() int {
@@ -54,6 +54,17 @@
 	return n
 }
 
+// sound is the number of voters that may stay and were heard lately.
+func (l *loop) sound() int {
+	n := 0
+	for _, s := range l.last.Configuration.GetServers() {
+		if !s.GetLearner() && l.peers.listed(s.GetName()) && l.node.Silence(s.GetId()) < silentHost {
+			n++
+		}
+	}
+	return n
+}
+
 // translate puts an address in the place of a server.
 func (l *loop) translate(err error) error {
 	var not *replica.NotLeaderError
@@ -84,7 +95,7 @@
 }
 
 func (a *arrival) enter(l *loop, now time.Time) {
-	l.peers.learn(a.request.GetId(), a.request.GetName())
+	l.peers.learn(a.request.GetId(), a.request.GetName(), a.request.GetAddress())
 	for _, m := range a.request.GetMessages() {
 		l.node.Step(now, m)
 	}
@@ -108,13 +119,18 @@
 		j.reply <- joined{err: &UnknownHostError{Name: r.GetName()}}
 		return
 	}
-	l.peers.learn(r.GetId(), r.GetName())
-	kind, s := replica.AddLearner, &replicav1.Server{Id: r.GetId(), Name: r.GetName()}
+	l.peers.learn(r.GetId(), r.GetName(), r.GetAddress())
+	kind, s := replica.AddLearner, &replicav1.Server{Id: r.GetId(), Name: r.GetName(), Address: r.GetAddress()}
 	for _, o := range l.node.Status(now).Configuration.GetServers() {
 		switch {
 		case o.GetId() == r.GetId() && !o.GetLearner():
 			j.reply <- joined{voter: true}
 			return
+		case o.GetId() == r.GetId() && l.sound() >= l.store.voters:
+			// Enough hosts count; this one takes the place of the next that is
+			// lost.
+			j.reply <- joined{}
+			return
 		case o.GetId() == r.GetId():
 			kind = replica.Promote
 		case o.GetName() == r.GetName():
@@ -134,7 +150,7 @@
 
 func (founding) enter(l *loop, now time.Time) {
 	if l.empty(now) {
-		l.node.Bootstrap(l.peers.own)
+		l.node.Bootstrap(l.peers.own.Name, l.peers.own.Address.String())
 	}
 }
 
--- a/control/loop.go
+++ b/control/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -22,6 +23,11 @@
 	inputRing   = 4096
 	batchInputs = 1024
 	appendBytes = 1 << 20
+	// fullPause is the time between tries to write to a full disk.
+	fullPause = 50 * time.Millisecond
+	// silentHost is the silence after which a voter's place goes to a host that
+	// waits for one. A successor has to count within 4 s of its start.
+	silentHost = 2 * time.Second
 	// compactEntries is how many entries are applied between snapshots, and
 	// keptEntries how many of them stay for slow followers.
 	compactEntries = 20_000
@@ -89,7 +95,7 @@
 		}
 		l.node.Tick(time.Now())
 		l.retire(time.Now())
-		if err := l.settle(); err != nil {
+		if err := l.settle(ctx); err != nil {
 			return err
 		}
 	}
@@ -108,14 +114,14 @@
 }
 
 // settle carries out the effects of the replica until there are none.
-func (l *loop) settle() error {
+func (l *loop) settle(ctx context.Context) error {
 	for {
 		r := l.node.Ready()
 		if r.Empty() {
 			break
 		}
 		l.peers.send(l, r.Early)
-		if err := l.save(&r); err != nil {
+		if err := l.save(ctx, &r); err != nil {
 			return err
 		}
 		l.peers.send(l, r.Late)
@@ -127,23 +133,55 @@
 	return l.compact()
 }
 
-func (l *loop) save(r *replica.Ready) error {
+// save puts the state of the replica on the disk. A full disk holds up the
+// whole host, which is then as good as down for the others.
+func (l *loop) save(ctx context.Context, r *replica.Ready) error {
 	if !r.MustSync() {
 		return nil
 	}
-	if r.Snapshot != nil {
-		if err := l.disk.Compact(r.Snapshot, l.node.HardState(), nil); err != nil {
-			return err
-		}
-		l.compacted = r.Snapshot.GetIndex()
+	if err := l.persist(ctx, func() error { return l.saveSnapshot(r) }); err != nil {
+		return err
 	}
-	if err := l.disk.Save(r.State, r.Entries); err != nil {
+	if err := l.persist(ctx, func() error { return l.disk.Save(r.State, r.Entries) }); err != nil {
 		return err
 	}
 	l.node.Saved()
 	return nil
 }
 
+func (l *loop) saveSnapshot(r *replica.Ready) error {
+	if r.Snapshot == nil {
+		return nil
+	}
+	if err := l.disk.Compact(r.Snapshot, l.node.HardState(), nil); err != nil {
+		return err
+	}
+	l.compacted = r.Snapshot.GetIndex()
+	return nil
+}
+
+// persist writes until the disk has room.
+func (l *loop) persist(ctx context.Context, write func() error) error {
+	for tries := 0; ; tries++ {
+		err := write()
+		var full *writeahead.FullError
+		if !errors.As(err, &full) {
+			if tries > 0 && err == nil {
+				l.log.WithField("Tries", tries).Info("disk has room again")
+			}
+			return err
+		}
+		if tries == 0 {
+			l.log.WithError(err).Error("disk is full, nothing is accepted here")
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(fullPause):
+		}
+	}
+}
+
 func (l *loop) apply(r *replica.Ready) error {
 	if r.Snapshot != nil {
 		if err := l.store.restore(r.Snapshot.GetState()); err != nil {
@@ -231,14 +269,15 @@
 	}
 }
 
-// retire removes a server whose host is no longer listed, once its replacement
-// counts.
+// retire removes a server whose host is no longer listed or silent, once its
+// replacement counts.
 func (l *loop) retire(now time.Time) {
-	if l.last.Role != replica.Leader || l.voters() <= len(l.peers.hosts) {
+	if l.last.Role != replica.Leader || l.voters() <= l.store.voters {
 		return
 	}
 	for _, s := range l.last.Configuration.GetServers() {
-		if l.peers.listed(s.GetName()) {
+		silent := len(l.peers.fixed) == 0 && !s.GetLearner() && l.node.Silence(s.GetId()) >= silentHost
+		if l.peers.listed(s.GetName()) && !silent {
 			continue
 		}
 		if l.node.Change(now, replica.Remove, s) == nil {
@@ -266,5 +305,11 @@
 	}
 	l.node.Compact(s, keptEntries)
 	l.compacted = l.applied
-	return l.disk.Compact(s, l.node.HardState(), l.node.Retained())
+	err = l.disk.Compact(s, l.node.HardState(), l.node.Retained())
+	var full *writeahead.FullError
+	if errors.As(err, &full) {
+		l.log.WithError(err).Warn("snapshot not written, the log goes on")
+		return nil
+	}
+	return err
 }
--- a/control/member.go
+++ b/control/member.go
@@ -34,6 +34,9 @@
 	s.leases.Renew(state.MemberKey(m.GetEnvironment(), m.GetName()), time.Now(), MemberLease)
 	res.DocumentNumber = s.state.Current(m.GetEnvironment()).GetNumber()
 	res.Revision = s.state.Revision()
+	for _, a := range s.status.Controls {
+		res.Controls = append(res.Controls, a.String())
+	}
 	return res, nil
 }
 
--- a/control/replica.go
+++ b/control/replica.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"connectrpc.com/connect"
 
+	"ebonyreel/controls"
 	replicav1 "ebonyreel/proto/replica/v1"
 )
 
 const (
 	// joinInterval is the time between two attempts to join.
 	joinInterval = 200 * time.Millisecond
+	// joinTimeout bounds one question to another host.
+	joinTimeout = 500 * time.Millisecond
 	// transferTimeout bounds a planned change of leader.
 	transferTimeout = 2 * time.Second
 )
@@ -58,20 +62,21 @@
 func (r *Replica) Status(context.Context, *connect.Request[replicav1.StatusRequest]) (*connect.Response[replicav1.StatusResponse], error) {
 	s := r.store.Status()
 	return connect.NewResponse(&replicav1.StatusResponse{
-		Id: r.store.id, Name: r.store.peers.own, Empty: s.Empty, Leader: s.Leader,
+		Id: r.store.id, Name: r.store.peers.own.Name, Empty: s.Empty, Leader: s.Leader,
 	}), nil
 }
 
 // join brings this host into the quorum: the first of the list begins the log
-// once all others have said that they are empty too; every other one joins.
+// once all others have said that they are empty too; every other one joins. So
+// does a voter that is not in touch, as its place may have gone to another.
 func (s *Store) join(ctx context.Context) {
 	t := time.NewTicker(joinInterval)
 	defer t.Stop()
 	for {
 		st := s.Status()
 		switch {
-		case st.Voter:
-		case st.Empty && s.first() && s.othersEmpty(ctx):
+		case st.Voter && s.InTouch():
+		case st.Empty && s.bootstrap && s.peers.first() && s.othersEmpty(ctx):
 			_ = s.enter(founding{})
 		default:
 			s.askToJoin(ctx)
@@ -84,16 +89,12 @@
 	}
 }
 
-func (s *Store) first() bool {
-	return s.peers.hosts[0].Name == s.peers.own
-}
-
 // othersEmpty reports whether every other host has answered that it has no
 // state.
 func (s *Store) othersEmpty(ctx context.Context) bool {
-	for _, c := range s.peers.clients {
-		call, cancel := context.WithTimeout(ctx, deliverTimeout)
-		res, err := c.Status(call, connect.NewRequest(&replicav1.StatusRequest{}))
+	for _, a := range s.peers.others() {
+		call, cancel := context.WithTimeout(ctx, joinTimeout)
+		res, err := s.peers.dial(a).Status(call, connect.NewRequest(&replicav1.StatusRequest{}))
 		cancel()
 		if err != nil || !res.Msg.GetEmpty() {
 			return false
@@ -102,23 +103,34 @@
 	return true
 }
 
+// askToJoin asks the other hosts in turn, and the leader that one of them
+// names.
 func (s *Store) askToJoin(ctx context.Context) {
-	for _, c := range s.peers.clients {
-		call, cancel := context.WithTimeout(ctx, deliverTimeout)
-		_, err := c.Join(call, connect.NewRequest(&replicav1.JoinRequest{Id: s.id, Name: s.peers.own}))
-		cancel()
+	for _, a := range s.peers.others() {
+		err := s.askHost(ctx, a)
+		if leader, e := netip.ParseAddrPort(controls.Reason(err).GetLeaderAddress()); e == nil && leader != a {
+			err = s.askHost(ctx, leader)
+		}
 		if err == nil {
 			return
 		}
 	}
 }
 
+func (s *Store) askHost(ctx context.Context, a netip.AddrPort) error {
+	call, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	r := &replicav1.JoinRequest{Id: s.id, Name: s.peers.own.Name, Address: s.peers.own.Address.String()}
+	_, err := s.peers.dial(a).Join(call, connect.NewRequest(r))
+	return err
+}
+
 // Transfer hands leadership over before a planned stop, if this host leads
 // others.
 func (s *Store) Transfer(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	for s.Status().Leads && len(s.peers.clients) > 0 {
+	for s.Status().Leads && len(s.peers.others()) > 0 {
 		h := &handover{reply: make(chan error, 1)}
 		if s.enter(h) != nil {
 			return
--- a/control/store.go
+++ b/control/store.go
@@ -45,8 +45,10 @@
 	Voter bool
 	// Servers are the names of the hosts that count in the quorum.
 	Servers []string
-	Term    uint64
-	Commit  uint64
+	// Controls are the addresses of all hosts in the configuration.
+	Controls []netip.AddrPort
+	Term     uint64
+	Commit   uint64
 	// touched is when the host was last in touch with a quorum's leader.
 	touched time.Time
 }
@@ -55,11 +57,17 @@
 // watchers wait for changes. It keeps the leases of members in memory only: a
 // new leader grants every member a full lease.
 type Store struct {
-	// id, peers and inputs do not change.
-	id     string
-	peers  *peers
-	inputs chan input
-	loop   *loop
+	// id, peers and inputs do not change. voters is the number of hosts that
+	// count once all are there, and founders the number that must have counted
+	// before the first command.
+	id       string
+	voters   int
+	founders int
+	// bootstrap is true where this host may begin the log.
+	bootstrap bool
+	peers     *peers
+	inputs    chan input
+	loop      *loop
 	// dropped counts messages for hosts whose rings were full.
 	dropped atomic.Uint64
 
@@ -97,13 +105,16 @@
 		return nil, err
 	}
 	st := &Store{
-		id:      c.ID,
-		peers:   newPeers(s.Name, s.Cluster, h, opts...),
-		inputs:  make(chan input, inputRing),
-		state:   state.New(s.WatchHistory),
-		heard:   map[string]heard{},
-		changed: make(chan struct{}),
-		done:    make(chan struct{}),
+		id:        c.ID,
+		voters:    voters(s),
+		founders:  founders(s),
+		bootstrap: len(s.Cluster) > 0 || s.Bootstrap,
+		peers:     newPeers(c.ID, s, h, opts...),
+		inputs:    make(chan input, inputRing),
+		state:     state.New(s.WatchHistory),
+		heard:     map[string]heard{},
+		changed:   make(chan struct{}),
+		done:      make(chan struct{}),
 	}
 	if err := st.restore(c.Snapshot.GetState()); err != nil {
 		return nil, err
@@ -123,7 +134,6 @@
 		waiters: map[uint64]waiter{}, asked: map[uint64]chan error{}, nextRead: rand.Uint64(),
 	}
 	l.node = replica.New(o, replica.Stored{State: c.State, Snapshot: c.Snapshot, Entries: c.Entries}, time.Now())
-	l.peers.learn(c.ID, s.peers.own)
 	l.peers.resolve(l)
 	l.observe(time.Now())
 	return l
@@ -134,9 +144,7 @@
 func (s *Store) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	for name := range s.peers.clients {
-		go s.peers.deliver(ctx, name, s.id)
-	}
+	s.peers.start(ctx)
 	go s.join(ctx)
 	go s.expireAll(ctx)
 	defer func() { _ = s.loop.disk.Close() }()
@@ -187,6 +195,11 @@
 	}
 }
 
+// Seed takes in the addresses where other control hosts are looked for.
+func (s *Store) Seed(seeds []netip.AddrPort) {
+	s.peers.seed(seeds)
+}
+
 // Status returns what the host knows of itself.
 func (s *Store) Status() Status {
 	s.mu.Lock()
@@ -200,6 +213,38 @@
 	return time.Since(s.Status().touched) < touchTimeout
 }
 
+// voters is the number of hosts that count once all are there.
+func voters(s settings.Control) int {
+	if len(s.Cluster) > 0 {
+		return len(s.Cluster)
+	}
+	return 2*s.Tolerates + 1
+}
+
+// founders is the number of hosts that must count before the first command:
+// with fewer, the loss of a disk could be the loss of everything.
+func founders(s settings.Control) int {
+	if len(s.Cluster) > 0 {
+		return len(s.Cluster)/2 + 1
+	}
+	return voters(s)
+}
+
+// used reports whether the log has had a command.
+func (s *Store) used() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Revision() > 0
+}
+
+// Controls returns the addresses of the control hosts in the configuration,
+// as far as they are known.
+func (s *Store) Controls() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.status.Controls
+}
+
 func (s *Store) publishStatus(now time.Time, r replica.Status, leads bool, leader netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -209,7 +254,7 @@
 	}
 	s.status = Status{
 		Leads: leads, Leader: s.peers.name(r.Leader), Address: leader, Empty: len(r.Configuration.GetServers()) == 0,
-		Voter: s.counts(r.Configuration), Servers: voterNames(r.Configuration), Term: r.Term, Commit: r.Commit, touched: touched,
+		Voter: s.counts(r.Configuration), Servers: voterNames(r.Configuration), Controls: s.addresses(r.Configuration), Term: r.Term, Commit: r.Commit, touched: touched,
 	}
 }
 
@@ -222,6 +267,16 @@
 	return false
 }
 
+func (s *Store) addresses(c *replicav1.Configuration) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, o := range c.GetServers() {
+		if a := s.peers.address(o.GetName()); a.IsValid() {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 func voterNames(c *replicav1.Configuration) []string {
 	var out []string
 	for _, o := range c.GetServers() {
--- a/controls/announcer.go
+++ b/controls/announcer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -92,6 +93,7 @@
 		a.failed(err)
 		return
 	}
+	a.client.Learn(addresses(res.GetControls()))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.member.Incarnation = res.GetIncarnation()
@@ -104,6 +106,17 @@
 	}
 }
 
+// addresses reads a list of addresses, and leaves out what is none.
+func addresses(all []string) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, s := range all {
+		if a, err := netip.ParseAddrPort(s); err == nil {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // failed logs a failed renewal. A stale incarnation asks for a new one.
 func (a *Announcer) failed(err error) {
 	a.log.WithError(err).Warn("announce failed")
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -70,7 +70,7 @@
 		}
 	case AddLearner:
 		if n.server(s.GetId()) == nil {
-			next.Servers = append(next.Servers, &replicav1.Server{Id: s.GetId(), Name: s.GetName(), Learner: true})
+			next.Servers = append(next.Servers, &replicav1.Server{Id: s.GetId(), Name: s.GetName(), Address: s.GetAddress(), Learner: true})
 		}
 	case Promote:
 		if !n.Synced(s.GetId()) {
@@ -83,6 +83,14 @@
 	return next, nil
 }
 
+// Silence returns how long a server has not been heard by this leader.
+func (n *Node) Silence(id string) time.Duration {
+	if id == n.options.ID || n.peers[id] == nil {
+		return 0
+	}
+	return n.now.Sub(n.peers[id].heard)
+}
+
 // Synced reports whether a server was heard lately and has everything that is
 // committed on its disk.
 func (n *Node) Synced(id string) bool {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -120,8 +120,8 @@
 
 // Bootstrap makes the first entry of a new log: a configuration with this
 // server alone.
-func (n *Node) Bootstrap(name string) {
-	only := &replicav1.Configuration{Servers: []*replicav1.Server{{Id: n.options.ID, Name: name}}}
+func (n *Node) Bootstrap(name, address string) {
+	only := &replicav1.Configuration{Servers: []*replicav1.Server{{Id: n.options.ID, Name: name, Address: address}}}
 	n.state = &replicav1.HardState{Term: 1}
 	n.dirty = true
 	n.log.append(&replicav1.Entry{Index: 1, Term: 1, Kind: &replicav1.Entry_Configuration{Configuration: only}})
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -67,7 +67,7 @@
 	}
 	if command == "boot" {
 		h := c.empty(args[0])
-		h.node.Bootstrap(args[0])
+		h.node.Bootstrap(args[0], "")
 		c.settle(h)
 		return ""
 	}
@@ -214,7 +214,7 @@
 
 func (c *cluster) boot() *host {
 	h := c.empty("a")
-	h.node.Bootstrap("a")
+	h.node.Bootstrap("a", "")
 	return h
 }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -20,6 +20,10 @@
 // defaultWatchHistory is the number of events kept for watchers that resume.
 const defaultWatchHistory = 10_000
 
+// maxTolerated is the largest number of control hosts that may be lost at once:
+// nine hosts are set aside at most.
+const maxTolerated = 4
+
 // defaultRetryBudget allows a fifth of the requests to be sent again, and a few
 // more after a quiet time.
 var defaultRetryBudget = RetryBudget{Ratio: 0.2, Slack: 50, Window: document.Duration(10 * time.Second)}
@@ -216,18 +220,32 @@
 			c.Add("WatchHistory", s.WatchHistory, "a number from 1")
 		}
 		c.cluster(s.Name, s.Cluster)
+		c.seeds(s)
 		c.protocol(s.Protocol)
 		c.memory(s.MemoryMegabytes)
 		if s.Protocol == Platform {
 			c.text("Environment", s.Environment)
 		}
 	})
-	if len(s.Cluster) == 0 {
+	if len(s.Cluster) == 0 && len(s.Seeds) == 0 {
 		s.Cluster = []ControlHost{{Name: s.Name, Address: s.Peers}}
 	}
 	return s, err
 }
 
+// seeds checks how control hosts find each other.
+func (c *checker) seeds(s Control) {
+	if len(s.Seeds) > 0 && len(s.Cluster) > 0 {
+		c.Add("Seeds", fmt.Sprintf("%d addresses", len(s.Seeds)), "none, as Cluster lists the hosts")
+	}
+	for i, a := range s.Seeds {
+		c.address(fmt.Sprintf("Seeds[%d]", i), a)
+	}
+	if s.Tolerates < 0 || s.Tolerates > maxTolerated {
+		c.Add("Tolerates", s.Tolerates, fmt.Sprintf("a number from 0 to %d", maxTolerated))
+	}
+}
+
 // cluster checks the list of control hosts, which names each of them once.
 func (c *checker) cluster(own string, all []ControlHost) {
 	if len(all) == 0 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -96,6 +96,13 @@
 	// on each; empty means that this host is alone. When no host has a state
 	// yet, the first one begins it.
 	Cluster []ControlHost
+	// Seeds are addresses of control hosts, where Cluster is not set: the hosts
+	// find each other there, and replace each other without an operator.
+	Seeds []netip.AddrPort
+	// Tolerates is the number of hosts that may be lost at once, with Seeds.
+	Tolerates int
+	// Bootstrap allows the first seed to begin the log, with Seeds.
+	Bootstrap bool
 	// Protocol is what endpoints and operators speak on the address Peers beside
 	// the control service: OpenAI means nothing else, or Platform.
 	Protocol string
--- a/writeahead/files.go
+++ b/writeahead/files.go
@@ -6,6 +6,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"syscall"
 
 	"github.com/joomcode/errorx"
 
@@ -22,7 +23,9 @@
 		return errorx.Decorate(err, "make %s", name)
 	}
 	defer func() { _ = f.Close() }()
-	if _, err := f.Write(b); err != nil {
+	if _, err := f.Write(b); errors.Is(err, syscall.ENOSPC) {
+		return &FullError{Cause: err}
+	} else if err != nil {
 		return &SyncError{Cause: err}
 	}
 	if err := f.Sync(); err != nil {
@@ -47,12 +50,13 @@
 }
 
 // writeMark notes how much of the segment is synced. It is not synced itself:
-// an old mark only makes less rot known.
+// an old mark only makes less rot known, and so does one that a full disk did
+// not take.
 func (j *Log) writeMark() error {
 	b := binary.LittleEndian.AppendUint64(nil, uint64(j.synced))
 	b = binary.LittleEndian.AppendUint32(b, checksum(b))
 	_, err := j.mark.WriteAt(b, 0)
-	if err != nil {
+	if err != nil && !errors.Is(err, syscall.ENOSPC) {
 		return errorx.Decorate(err, "write mark")
 	}
 	return nil
--- a/writeahead/log.go
+++ b/writeahead/log.go
@@ -14,8 +14,11 @@
 
 import (
 	"crypto/rand"
+	"errors"
+	"io"
 	"os"
 	"path/filepath"
+	"syscall"
 
 	"github.com/joomcode/errorx"
 
@@ -36,6 +39,8 @@
 type File interface {
 	Write(b []byte) (int, error)
 	Sync() error
+	Truncate(size int64) error
+	Seek(offset int64, whence int) (int64, error)
 	Close() error
 }
 
@@ -121,14 +126,15 @@
 }
 
 // Save writes a term and vote and entries as one batch, and syncs the disk
-// once. The error is a *SyncError, after which the process must end.
+// once. The error is a *FullError, after which the same may be saved again, or a
+// *SyncError, after which the process must end.
 func (j *Log) Save(state *replicav1.HardState, entries []*replicav1.Entry) error {
 	j.batch = j.batch[:0]
 	if err := j.collect(state, entries); err != nil {
 		return err
 	}
 	if _, err := j.file.Write(j.batch); err != nil {
-		return &SyncError{Cause: err}
+		return j.undo(err)
 	}
 	if err := j.file.Sync(); err != nil {
 		return &SyncError{Cause: err}
@@ -138,6 +144,20 @@
 	return j.writeMark()
 }
 
+// undo cuts off what a failed write may have left of a batch.
+func (j *Log) undo(cause error) error {
+	if !errors.Is(cause, syscall.ENOSPC) {
+		return &SyncError{Cause: cause}
+	}
+	if err := j.file.Truncate(j.size); err != nil {
+		return &SyncError{Cause: err}
+	}
+	if _, err := j.file.Seek(j.size, io.SeekStart); err != nil {
+		return &SyncError{Cause: err}
+	}
+	return &FullError{Cause: cause}
+}
+
 func (j *Log) collect(state *replicav1.HardState, entries []*replicav1.Entry) error {
 	var err error
 	if state != nil {
@@ -156,7 +176,7 @@
 }
 
 // Compact saves a snapshot, and then begins a new segment with the entries
-// that are still needed.
+// that are still needed. After a *FullError the old segment goes on.
 func (j *Log) Compact(s *replicav1.Snapshot, state *replicav1.HardState, entries []*replicav1.Entry) error {
 	if err := j.saveSnapshot(s); err != nil {
 		return err
@@ -183,6 +203,7 @@
 		}
 	}
 	if err := replaceFile(j.folder, segmentFile, j.batch); err != nil {
+		j.synced = j.size
 		return err
 	}
 	f, err := os.OpenFile(filepath.Join(j.folder, segmentFile), os.O_WRONLY|os.O_APPEND, fileMode)
--- a/writeahead/log_test.go
+++ b/writeahead/log_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
@@ -73,6 +74,10 @@
 		return verdict(os.Remove(s.path(markFile)))
 	case "fail-sync":
 		s.log.file = failing{s.log.file}
+	case "fill-disk":
+		s.log.file = full{s.log.file}
+	case "free-disk":
+		s.log.file = s.log.file.(full).File
 	case "set-aside":
 		return verdict(SetAside(s.folder))
 	case "lose-segment":
@@ -151,7 +156,22 @@
 
 func (failing) Sync() error { return os.ErrDeadlineExceeded }
 
+// full is a file on a disk that has room for a few bytes of each write.
+type full struct{ File }
+
+func (f full) Write(b []byte) (int, error) {
+	n, err := f.File.Write(b[:min(len(b), 7)])
+	if err != nil {
+		return n, err
+	}
+	return n, syscall.ENOSPC
+}
+
 func verdict(err error) string {
+	var full *FullError
+	if errors.As(err, &full) {
+		return "full: " + full.Error() + "\n"
+	}
 	var rot *RotError
 	var sync *SyncError
 	switch {
