--- a/cmd/control/command.go
+++ b/cmd/control/command.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/spf13/cobra"
@@ -62,6 +63,7 @@
 		g := control.NewGateway(store, security.Client, connect.WithInterceptors(security.Show))
 		platform.NewRegistry(g, s.Environment, log).Add(routes)
 		platform.NewOperator(g, s.Environment, log).Add(routes)
+		go control.NewBalancer(store, platform.NewWorker(), s.Environment, time.Duration(s.OrderPause), log).Run(base)
 	}
 	peers := transport.NewServer(routes)
 	operators := transport.NewServer(operatorRoutes(store, security))
--- a/cmd/entry/command.go
+++ b/cmd/entry/command.go
@@ -100,7 +100,6 @@
 		return err
 	})
 	go view.Run(base)
-	go announcer.Run(base)
 	p := parts{settings: s, files: f, client: client, view: view, announcer: announcer, log: log}
 	serve := p.own
 	if s.Protocol == settings.Platform {
@@ -110,6 +109,7 @@
 	if err != nil {
 		return err
 	}
+	go announcer.Run(base)
 	failed := make(chan error, 2)
 	go func() { failed <- transport.ServeSecure(base, w.callers, s.Callers, f.certificates) }()
 	go func() { failed <- transport.ServeSecure(base, w.operators, s.Operators, f.security.Certificates) }()
--- a/cmd/entry/platform.go
+++ b/cmd/entry/platform.go
@@ -18,6 +18,7 @@
 	budget := relay.Budget{Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack, Window: time.Duration(s.RetryBudget.Window)}
 	w := platform.NewWorker()
 	r := relay.New(p.view, w, w, s.FailureDomain, budget, p.log)
+	p.announcer.ReportUses(r.Uses)
 	gate := entry.NewGate(p.view, p.log)
 	m := http.NewServeMux()
 	platform.AddReadiness(m, gate.Ready)
--- a/control/peers.go
+++ b/control/peers.go
@@ -162,9 +162,13 @@
 	return netip.AddrPort{}
 }
 
-// learn notes which host a server is on, and where the host is.
+// learn notes which host a server is on, and where the host is. Addresses in the
+// settings go before what a host says of itself.
 func (p *peers) learn(id, name, address string) {
 	p.names[id] = name
+	if len(p.fixed) > 0 {
+		return
+	}
 	if a, err := netip.ParseAddrPort(address); err == nil {
 		p.meet(name, a)
 	}
--- a/control/server.go
+++ b/control/server.go
@@ -142,6 +142,7 @@
 	if err != nil {
 		return nil, refuse(err)
 	}
+	s.store.noteUses(r.Msg)
 	res.Lease = durationpb.New(MemberLease)
 	return connect.NewResponse(res), nil
 }
--- a/control/store.go
+++ b/control/store.go
@@ -79,6 +79,8 @@
 	// endpointLeases and heard are guarded by mu and keyed by endpoint key.
 	endpointLeases lease.Table
 	heard          map[string]heard
+	// uses is guarded by mu and keyed by member key.
+	uses map[string]reported
 	// changed is guarded by mu; it is closed with each published change.
 	changed chan struct{}
 	// status is guarded by mu.
@@ -113,6 +115,7 @@
 		inputs:    make(chan input, inputRing),
 		state:     state.New(s.WatchHistory),
 		heard:     map[string]heard{},
+		uses:      map[string]reported{},
 		changed:   make(chan struct{}),
 		done:      make(chan struct{}),
 	}
--- a/controls/announcer.go
+++ b/controls/announcer.go
@@ -43,6 +43,8 @@
 	member *controlv1.Member
 	// until is the end of the lease, counted from before it was asked for.
 	until time.Time
+	// uses returns what the process used of pools; it may be nil.
+	uses func() []*controlv1.PoolUse
 	// behindSince is when the view was first seen behind the newest document;
 	// it is zero while the view is current.
 	behindSince time.Time
@@ -61,6 +63,12 @@
 	return &Announcer{client: c, view: v, member: m, log: log, wake: make(chan struct{}, 1)}
 }
 
+// ReportUses makes renewals report what the process used of pools. It is called
+// before Run.
+func (a *Announcer) ReportUses(uses func() []*controlv1.PoolUse) {
+	a.uses = uses
+}
+
 // Run renews the lease until the context ends.
 func (a *Announcer) Run(ctx context.Context) {
 	t := time.NewTicker(announceInterval)
@@ -87,8 +95,12 @@
 	if d := a.view.Document(); d != nil {
 		number = d.Number
 	}
+	r := &controlv1.AnnounceRequest{Member: m, DocumentNumber: number}
+	if a.uses != nil {
+		r.Uses = a.uses()
+	}
 	asked := time.Now()
-	res, err := a.client.Announce(ctx, &controlv1.AnnounceRequest{Member: m, DocumentNumber: number})
+	res, err := a.client.Announce(ctx, r)
 	if err != nil {
 		a.failed(err)
 		return
--- a/relay/book.go
+++ b/relay/book.go
@@ -45,7 +45,9 @@
 	pages map[key]*page
 	// latency is the running mean over all endpoints of a pool.
 	latency map[string]time.Duration
-	swept   time.Time
+	// uses is keyed by pool.
+	uses  map[string]*use
+	swept time.Time
 }
 
 type key struct {
@@ -128,7 +130,12 @@
 	return best
 }
 
+// serves reports whether an endpoint does new work of a role. One that was
+// ordered to take another role does none.
 func serves(e *controlv1.Endpoint, role controlv1.Role) bool {
+	if w := e.GetWantedRole(); w != controlv1.Role_ROLE_UNSPECIFIED && w != e.GetRole() {
+		return false
+	}
 	return e.GetRole() == role || e.GetRole() == controlv1.Role_ROLE_SERVICE
 }
 
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// outputShare is the part of the expected output for which memory is asked:
-	// requests that run together are at different points of their answers.
-	outputShare = 0.7
 	// usualOutput is the output that is expected of a request that declares
 	// none, in tokens.
 	usualOutput = 512
@@ -25,6 +22,12 @@
 	// decodeStart is the usual time between the grant of memory and the first
 	// event, the prefill included.
 	decodeStart = 250 * time.Millisecond
+	// leastPatience, abandonTargets and abandonGaps say how long callers wait for
+	// the next event of a stream: the longest of a time and of multiples of the
+	// route's targets.
+	leastPatience  = 2 * time.Second
+	abandonTargets = 4
+	abandonGaps    = 8
 	// holdTimeout bounds the call that asks for memory, and dropTimeout the
 	// one that gives it back.
 	holdTimeout = 300 * time.Millisecond
@@ -66,6 +69,11 @@
 
 // memory is the number of tokens that a request takes of an engine's memory.
 func (v *visit) memory() int {
+	return v.call.Prompt.Tokens + v.output()
+}
+
+// output is the number of tokens that a request is expected to generate.
+func (v *visit) output() int {
 	p := v.call.Prompt
 	output := p.ExpectedOutput
 	if output == 0 {
@@ -74,7 +82,7 @@
 	if p.MaxOutput > 0 {
 		output = min(output, p.MaxOutput)
 	}
-	return p.Tokens + int(outputShare*float64(output))
+	return output
 }
 
 // generate makes one try at a model engine: memory is reserved first, then the
@@ -91,7 +99,11 @@
 	start := time.Now()
 	t := r.tryAt(v, s.endpoint)
 	t.Source, t.Hold = h, s.hold
+	r.book.seated(v.pool.Name, float64(s.tokens)/float64(v.pool.Engine.MemoryTokens), v.output())
 	latency, err := r.send(ctx, v, t, start)
+	if err == nil {
+		r.book.decoded(v.pool.Name, v.output(), time.Since(start))
+	}
 	r.book.end(s.endpoint, verdictOf(ctx, err), latency, float64(s.tokens))
 	if err != nil {
 		r.say(v, err).WithFields(logrus.Fields{"Endpoint": t.Endpoint.Name, "Prefill": h.At.Name, "Hold": s.hold}).Info("try failed")
@@ -120,6 +132,8 @@
 func (r *Relay) seat(ctx context.Context, v *visit) (seat, error) {
 	l := r.lineOf(v.pool.Name)
 	target := v.call.Arrived.Add(time.Duration(v.route.Target) - decodeStart)
+	ctx, cancel := context.WithDeadline(ctx, v.abandoned().Add(-decodeStart))
+	defer cancel()
 	for {
 		if err := l.enter(ctx, target, v.route.Priority); err != nil {
 			return seat{}, &FullError{}
@@ -136,6 +150,11 @@
 	}
 }
 
+// abandoned is when the caller leaves if the first event has not come.
+func (v *visit) abandoned() time.Time {
+	return v.call.Arrived.Add(max(leastPatience, abandonTargets*time.Duration(v.route.Target), abandonGaps*time.Duration(v.route.Gap)))
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -203,6 +222,7 @@
 		r.say(v, err).WithField("Endpoint", e.GetName()).Info("prefill failed")
 		return Handle{}
 	}
+	r.book.prefilled(v.pool.Name, v.call.Prompt.Tokens, time.Since(start))
 	return h
 }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -20,6 +20,9 @@
 // defaultWatchHistory is the number of events kept for watchers that resume.
 const defaultWatchHistory = 10_000
 
+// defaultOrderPause is above the lease of a leader of the control hosts.
+const defaultOrderPause = document.Duration(3 * time.Second)
+
 // maxTolerated is the largest number of control hosts that may be lost at once:
 // nine hosts are set aside at most.
 const maxTolerated = 4
@@ -208,7 +211,7 @@
 // ReadControl reads and checks the settings of a control process. The error
 // is a *CheckError where the file could be read.
 func ReadControl(file string) (Control, error) {
-	s := Control{WatchHistory: defaultWatchHistory, Protocol: OpenAI}
+	s := Control{WatchHistory: defaultWatchHistory, Protocol: OpenAI, OrderPause: defaultOrderPause}
 	err := read(file, &s, func(c *checker) {
 		c.text("Name", s.Name)
 		c.text("FailureDomain", s.FailureDomain)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,8 +35,8 @@
 	CallersPrivateKeyFile  string
 	// DecisionFile receives a JSON line for each request; empty means none.
 	DecisionFile string
-	// Protocol is what callers speak: OpenAI or Platform.
-	Protocol string
+	// Protocol is what callers speak: OpenAI, which is the default, or Platform.
+	Protocol string `json:",omitempty"`
 	// RetryBudget bounds what all entries together send again to one pool.
 	RetryBudget RetryBudget `json:",omitzero"`
 	// MemoryMegabytes is the memory of the host that the process may use; zero
@@ -98,16 +98,19 @@
 	Cluster []ControlHost
 	// Seeds are addresses of control hosts, where Cluster is not set: the hosts
 	// find each other there, and replace each other without an operator.
-	Seeds []netip.AddrPort
+	Seeds []netip.AddrPort `json:",omitempty"`
 	// Tolerates is the number of hosts that may be lost at once, with Seeds.
 	Tolerates int
 	// Bootstrap allows the first seed to begin the log, with Seeds.
 	Bootstrap bool
 	// Protocol is what endpoints and operators speak on the address Peers beside
-	// the control service: OpenAI means nothing else, or Platform.
-	Protocol string
+	// the control service: OpenAI, the default, means nothing else, or Platform.
+	Protocol string `json:",omitempty"`
 	// Environment is that of the endpoints and operators of Platform.
-	Environment string
+	Environment string `json:",omitempty"`
+	// OrderPause is the time after which a former leader gives no more orders to
+	// endpoints.
+	OrderPause document.Duration `json:",omitzero"`
 	// MemoryMegabytes is the memory of the host that the process may use; zero
 	// means that there is no bound.
 	MemoryMegabytes int
--- a/state/endpoint.go
+++ b/state/endpoint.go
@@ -71,6 +71,7 @@
 	if old.GetState() == controlv1.EndpointState_ENDPOINT_STATE_LEAVING {
 		next.State = old.GetState()
 	}
+	next.WantedRole, next.Order = old.GetWantedRole(), old.GetOrder()
 	if proto.Equal(old, next) {
 		return nil
 	}
@@ -143,6 +144,19 @@
 	return &controlv1.LapseEndpointResponse{}, nil
 }
 
+// orderEndpoint records an order to a lifetime and allots its fencing token.
+func (s *State) orderEndpoint(now time.Time, r *controlv1.OrderEndpointRequest) (proto.Message, error) {
+	old := s.Endpoint(r.GetEnvironment(), r.GetName())
+	if old.GetLifetime() != r.GetLifetime() || old.GetState() != controlv1.EndpointState_ENDPOINT_STATE_READY {
+		return nil, &NotFoundError{Subject: fmt.Sprintf("lifetime %d of endpoint %s", r.GetLifetime(), r.GetName())}
+	}
+	s.incarnation++
+	next := proto.CloneOf(old)
+	next.WantedRole, next.Order = r.GetRole(), s.incarnation
+	s.publishEndpoint(now, next)
+	return &controlv1.OrderEndpointResponse{Order: next.GetOrder()}, nil
+}
+
 func (s *State) publishEndpoint(now time.Time, e *controlv1.Endpoint) {
 	e.UpdatedAt = timestamppb.New(now)
 	s.publish(EndpointKey(e.GetEnvironment(), e.GetName()), &controlv1.Item{Value: &controlv1.Item_Endpoint{Endpoint: e}})
--- a/state/endpoint_test.go
+++ b/state/endpoint_test.go
@@ -42,6 +42,8 @@
 		c.Kind = &controlv1.Command_RemoveEndpoint{RemoveEndpoint: &controlv1.RemoveEndpointRequest{Environment: "trial", Name: e.Name}}
 	case "lapse":
 		c.Kind = &controlv1.Command_LapseEndpoint{LapseEndpoint: &controlv1.LapseEndpointRequest{Environment: "trial", Name: e.Name, Lifetime: e.Lifetime}}
+	case "order":
+		c.Kind = &controlv1.Command_OrderEndpoint{OrderEndpoint: &controlv1.OrderEndpointRequest{Environment: "trial", Name: e.Name, Lifetime: e.Lifetime, Role: controlv1.Role_ROLE_DECODE}}
 	case "wait":
 		*now = now.Add(time.Duration(seconds) * time.Second)
 		return ""
@@ -58,7 +60,14 @@
 	items, _ := s.List(Range{Prefix: EndpointPrefix("trial")})
 	for _, it := range items {
 		o := it.GetEndpoint()
-		fmt.Fprintf(&out, "%s lifetime=%d %s %s %s\n", o.GetName(), o.GetLifetime(), o.GetAddress(), o.GetServes(), strings.TrimPrefix(o.GetState().String(), "ENDPOINT_STATE_"))
+		fmt.Fprintf(&out, "%s lifetime=%d %s %s %s%s\n", o.GetName(), o.GetLifetime(), o.GetAddress(), o.GetServes(), strings.TrimPrefix(o.GetState().String(), "ENDPOINT_STATE_"), ordered(o))
 	}
 	return out.String()
 }
+
+func ordered(e *controlv1.Endpoint) string {
+	if e.GetOrder() == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" order=%d %s", e.GetOrder(), strings.TrimPrefix(e.GetWantedRole().String(), "ROLE_"))
+}
--- a/state/state.go
+++ b/state/state.go
@@ -84,6 +84,8 @@
 		return s.announceEndpoint(now, k.AnnounceEndpoint)
 	case *controlv1.Command_RemoveEndpoint:
 		return s.removeEndpoint(now, k.RemoveEndpoint)
+	case *controlv1.Command_OrderEndpoint:
+		return s.orderEndpoint(now, k.OrderEndpoint)
 	case *controlv1.Command_LapseEndpoint:
 		return s.lapseEndpoint(now, k.LapseEndpoint)
 	}
