--- a/relay/counts.go
+++ b/relay/counts.go
@@ -20,16 +20,17 @@
 	// Refused is keyed by reason.
 	Refused *expvar.Map
 	// Retried counts tries beyond the first, Broken streams that were broken
-	// off, Left calls whose callers left.
+	// off, Late streams that missed their targets, Left calls whose callers left.
 	Retried *expvar.Int
 	Broken  *expvar.Int
 	Left    *expvar.Int
+	Late    *expvar.Int
 }
 
 func newCounts() *counts {
 	return &counts{
 		Answered: new(expvar.Map).Init(), Latency: new(expvar.Map).Init(), Refused: new(expvar.Map).Init(),
-		Retried: new(expvar.Int), Broken: new(expvar.Int), Left: new(expvar.Int),
+		Retried: new(expvar.Int), Broken: new(expvar.Int), Left: new(expvar.Int), Late: new(expvar.Int),
 	}
 }
 
@@ -60,6 +61,7 @@
 	m.Set("Retried", r.counts.Retried)
 	m.Set("Broken", r.counts.Broken)
 	m.Set("Left", r.counts.Left)
+	m.Set("Late", r.counts.Late)
 	m.Set("InFlight", expvar.Func(func() any { return r.working.Load() }))
 	return m
 }
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -92,9 +92,11 @@
 	if err != nil {
 		return err
 	}
+	v.seated = time.Now()
 	var h Handle
 	if v.last == "" {
 		h = r.prefill(ctx, v)
+		v.prefilled = time.Now()
 	}
 	start := time.Now()
 	t := r.tryAt(v, s.endpoint)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -103,6 +103,14 @@
 	// id of the last event passed on.
 	begun bool
 	last  string
+	// seated and prefilled are when memory was promised and the prompt was
+	// computed, first when the caller had the first event, and longest the longest
+	// time between two events.
+	seated    time.Time
+	prefilled time.Time
+	first     time.Time
+	latest    time.Time
+	longest   time.Duration
 	// failure is an endpoint's own failure, to be passed on where no other
 	// endpoint does better.
 	failure *Reply
@@ -166,6 +174,7 @@
 		err := r.try(ctx, v)
 		if err == nil {
 			r.counts.answered(v)
+			r.sayLate(v)
 			return
 		}
 		if errors.Is(ctx.Err(), context.Canceled) {
@@ -234,6 +243,28 @@
 	v.answer.Abort()
 }
 
+// sayLate notes a stream that missed its targets, with the times that explain it.
+func (r *Relay) sayLate(v *visit) {
+	target, gap := time.Duration(v.route.Target), time.Duration(v.route.Gap)
+	took := v.first.Sub(v.call.Arrived)
+	if v.first.IsZero() || took <= target && (gap == 0 || v.longest <= gap) {
+		return
+	}
+	r.counts.Late.Add(1)
+	r.say(v, nil).WithFields(logrus.Fields{
+		"Seated": since(v.call.Arrived, v.seated), "Prefilled": since(v.call.Arrived, v.prefilled),
+		"First": took.String(), "LongestGap": v.longest.String(),
+	}).Info("stream late")
+}
+
+// since is the time between two moments, or nothing where one was not reached.
+func since(from, to time.Time) string {
+	if to.IsZero() {
+		return ""
+	}
+	return to.Sub(from).String()
+}
+
 // sayLost notes an answer that could not be written.
 func (r *Relay) sayLost(v *visit, err error) {
 	if err != nil {
@@ -374,12 +405,17 @@
 		if err := v.answer.Begin(reply); err != nil {
 			return &GoneError{Cause: err}
 		}
-		v.begun = true
+		v.begun, v.first = true, time.Now()
 		r.counts.latency(v, time.Since(v.call.Arrived))
 	}
 	if err := v.answer.Event(event); err != nil {
 		return &GoneError{Cause: err}
 	}
+	now := time.Now()
+	if !v.latest.IsZero() {
+		v.longest = max(v.longest, now.Sub(v.latest))
+	}
+	v.latest = now
 	return nil
 }
 
