--- /dev/null
+++ b/relay/burst_test.go
@@ -0,0 +1,203 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	controlv1 "ebonyreel/proto/control/v1"
+)
+
+const (
+	// engineTokens is the memory of one engine, callTokens what a call takes of
+	// it, callTime how long, and promptTime the time of its prefill.
+	engineTokens = 33_466
+	callTokens   = 3700
+	callTime     = 3300 * time.Millisecond
+	promptTime   = 90 * time.Millisecond
+	// leaves is when a caller without a first event is gone.
+	leaves = 3600 * time.Millisecond
+)
+
+// engines are model engines with limited memory, in the time of a test.
+type engines struct {
+	mu sync.Mutex
+	// used is the memory in use by engine, holds what each hold took.
+	used  map[string]int
+	holds map[string]string
+	next  int
+	// prefills counts prompts computed.
+	prefills int
+}
+
+func (e *engines) Hold(_ context.Context, to Endpoint, tokens int, _ time.Duration) (string, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.used[to.Name]+tokens > engineTokens {
+		return "", &FullError{Status: http.StatusServiceUnavailable}
+	}
+	e.used[to.Name] += tokens
+	e.next++
+	id := fmt.Sprint(e.next)
+	e.holds[id] = to.Name
+	return id, nil
+}
+
+func (e *engines) Prefill(ctx context.Context, _ *Call, t Try) (Handle, error) {
+	e.mu.Lock()
+	e.prefills++
+	e.mu.Unlock()
+	pause(ctx, promptTime)
+	return Handle{At: t.Endpoint, ID: "handle"}, ctx.Err()
+}
+
+func (e *engines) Send(ctx context.Context, _ *Call, t Try) (*Reply, error) {
+	out, in := io.Pipe()
+	go func() {
+		_, _ = io.Copy(in, streamOf([]string{"1"}))
+		pause(ctx, callTime)
+		_, _ = io.Copy(in, streamOf([]string{"2"}))
+		_ = in.Close()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.used[e.holds[t.Hold]] -= callTokens
+	}()
+	return &Reply{Status: http.StatusOK, Events: true, Header: http.Header{}, Body: out}, nil
+}
+
+func (e *engines) Free(context.Context, Handle) error           { return nil }
+func (e *engines) Drop(context.Context, Endpoint, string) error { return nil }
+
+// leaver is a caller who leaves where no first event has come in time.
+type leaver struct {
+	caller
+	timer   *time.Timer
+	refused *Refusal
+	left    bool
+	took    time.Duration
+}
+
+func (c *leaver) Refuse(f Refusal) error {
+	c.refused = &f
+	return nil
+}
+
+func (c *leaver) Begin(*Reply) error {
+	c.timer.Stop()
+	return nil
+}
+
+func (c *leaver) Abort() {
+	c.left = true
+}
+
+// TestBurst answers the pattern "many users come at once": twice what the
+// engines can generate for five seconds, and half of it afterwards. Who can't be
+// served before leaving is refused in time, as not run, with a time to come
+// back, and costs no prefill; the engines stay as busy as they can be.
+func TestBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{document: readDocument(t)}
+		for i := range 6 {
+			role := controlv1.Role_ROLE_DECODE
+			if i < 2 {
+				role = controlv1.Role_ROLE_PREFILL
+			}
+			f.endpoints = append(f.endpoints, &controlv1.Endpoint{
+				Name: fmt.Sprint("e", i), Address: fmt.Sprintf("10.0.0.%d:80", i+1), Serves: "engines", Role: role,
+				State: controlv1.EndpointState_ENDPOINT_STATE_READY,
+			})
+		}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		e := &engines{used: map[string]int{}, holds: map[string]string{}}
+		r := New(f, e, e, "osu", Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, logrus.NewEntry(log))
+		capacity := 4 * (engineTokens / callTokens)
+		perSecond := float64(capacity) / callTime.Seconds()
+		var all []*leaver
+		var done sync.WaitGroup
+		offer := func(rate float64, lasts time.Duration) {
+			for range int(rate * lasts.Seconds()) {
+				c := &leaver{}
+				all = append(all, c)
+				done.Go(func() { serveOne(t, r, c) })
+				time.Sleep(time.Duration(float64(time.Second) / rate))
+			}
+		}
+		offer(2*perSecond, 5*time.Second)
+		offer(perSecond/2, 5*time.Second)
+		done.Wait()
+		answered := 0
+		for _, c := range all {
+			switch {
+			case c.left:
+				t.Errorf("a caller left without an answer after %s", c.took)
+			case c.refused == nil:
+				answered++
+			case !c.refused.Reason.NotRun() || c.refused.RetryAfter == 0:
+				t.Errorf("refused as %s, retry after %s", c.refused.Reason, c.refused.RetryAfter)
+			}
+		}
+		if e.prefills != answered {
+			t.Errorf("%d prompts were computed for %d answers", e.prefills, answered)
+		}
+		if best := perSecond * 10; float64(answered) < 0.85*best {
+			t.Errorf("%d of %d calls answered, the engines can do %.0f", answered, len(all), best)
+		}
+	})
+}
+
+func serveOne(t *testing.T, r *Relay, c *leaver) {
+	start := time.Now()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	c.timer = time.AfterFunc(leaves, cancel)
+	r.Serve(ctx, &Call{
+		ID: "r", Method: http.MethodPost, Host: "desk.example", Path: "/patient/1", Target: "/patient/1", Header: http.Header{},
+		Arrived: start, Prompt: Prompt{Model: "m", Tokens: 3000, ExpectedOutput: 700, MaxOutput: 1800},
+	}, c)
+	c.took = time.Since(start)
+}
+
+// TestLine shows the order in which waiting calls get memory.
+func TestLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &line{}
+		for range askers {
+			if err := l.enter(t.Context(), time.Time{}, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var order []string
+		var mu sync.Mutex
+		enter := func(name string, target time.Duration, priority int) {
+			go func() {
+				if l.enter(t.Context(), time.Now().Add(target), priority) == nil {
+					mu.Lock()
+					order = append(order, name)
+					mu.Unlock()
+				}
+			}()
+			synctest.Wait()
+		}
+		enter("late", -time.Second, 1)
+		enter("first", time.Second, 1)
+		enter("second", time.Second, 1)
+		enter("urgent", time.Second, 0)
+		enter("third", time.Second, 1)
+		for range 5 {
+			l.leave()
+			synctest.Wait()
+		}
+		if got, want := fmt.Sprint(order), "[urgent first second late third]"; got != want {
+			t.Errorf("order %s, expected %s", got, want)
+		}
+	})
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,222 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/sirupsen/logrus"
+
+	"ebonyreel/document"
+	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/transport"
+)
+
+// fleet is a document and endpoints that do not change.
+type fleet struct {
+	document  *document.Document
+	endpoints []*controlv1.Endpoint
+}
+
+func (f *fleet) Document() *document.Document { return f.document }
+
+func (f *fleet) Entries() int { return 4 }
+
+func (f *fleet) Endpoints(pool string) []*controlv1.Endpoint {
+	var out []*controlv1.Endpoint
+	for _, e := range f.endpoints {
+		if e.GetServes() == pool {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// endpoints answers as a script says, one line for each try.
+type endpoints struct {
+	mu     sync.Mutex
+	script []string
+	// seen lists what was sent.
+	seen []string
+}
+
+func (s *endpoints) next() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.script) == 0 {
+		return "unreachable"
+	}
+	out := s.script[0]
+	s.script = s.script[1:]
+	return out
+}
+
+func (s *endpoints) note(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen = append(s.seen, fmt.Sprintf(format, args...))
+}
+
+// Send carries out one line of the script: a status with a body, "full",
+// "elsewhere", "unreachable", "lost", "silent" or "events" with their ids. An id
+// of "cut" ends the stream within an event, "reset" between two.
+func (s *endpoints) Send(ctx context.Context, _ *Call, t Try) (*Reply, error) {
+	verb, rest, _ := strings.Cut(s.next(), " ")
+	sent := "send"
+	if t.LastEvent != "" {
+		sent += " after " + t.LastEvent
+	}
+	if t.Source.ID != "" {
+		sent += " from " + t.Source.ID
+	}
+	if t.Hold != "" {
+		sent += " with " + t.Hold
+	}
+	s.note("%s: %s %s", sent, verb, rest)
+	reply := &Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(rest))}
+	switch verb {
+	case "unreachable":
+		return nil, &transport.DialError{Address: t.Endpoint.Address.String(), Cause: errors.New("refused")}
+	case "lost":
+		return nil, io.ErrUnexpectedEOF
+	case "silent":
+		<-ctx.Done()
+		return nil, context.Cause(ctx)
+	case "full":
+		reply.Status, reply.NotRun = http.StatusServiceUnavailable, true
+	case "elsewhere":
+		reply.Status, reply.Elsewhere = http.StatusMisdirectedRequest, true
+	case "events":
+		reply.Events, reply.Body = true, io.NopCloser(streamOf(strings.Fields(rest)))
+	default:
+		if _, err := fmt.Sscan(verb, &reply.Status); err != nil {
+			return nil, err
+		}
+	}
+	return reply, nil
+}
+
+// streamOf writes events, and an error in their place.
+func streamOf(ids []string) io.Reader {
+	var all []io.Reader
+	for _, id := range ids {
+		switch id {
+		case "cut":
+			all = append(all, strings.NewReader("id: 99\nda"), failing{})
+		case "reset":
+			all = append(all, failing{})
+		default:
+			all = append(all, strings.NewReader("id: "+id+"\ndata: x\n\n"))
+		}
+	}
+	return io.MultiReader(all...)
+}
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func (s *endpoints) Prefill(context.Context, *Call, Try) (Handle, error) {
+	s.note("prefill")
+	return Handle{ID: "handle"}, nil
+}
+
+func (s *endpoints) Free(context.Context, Handle) error { return nil }
+
+func (s *endpoints) Hold(_ context.Context, _ Endpoint, tokens int, _ time.Duration) (string, error) {
+	s.note("hold %d", tokens)
+	return "hold", nil
+}
+
+func (s *endpoints) Drop(context.Context, Endpoint, string) error { return nil }
+
+// caller keeps what it was answered.
+type caller struct {
+	mu  sync.Mutex
+	out strings.Builder
+}
+
+func (c *caller) write(format string, args ...any) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fmt.Fprintf(&c.out, format, args...)
+	return nil
+}
+
+func (c *caller) Refuse(f Refusal) error {
+	return c.write("refused %s not-run=%t retry-after=%s\n", f.Reason, f.Reason.NotRun(), f.RetryAfter)
+}
+func (c *caller) Whole(r *Reply, body []byte) error { return c.write("whole %d %s\n", r.Status, body) }
+func (c *caller) Begin(*Reply) error                { return c.write("begin\n") }
+func (c *caller) Event(b []byte) error              { return c.write("event %s\n", strings.Fields(string(b))[1]) }
+func (c *caller) Abort()                            { _ = c.write("abort\n") }
+
+// TestServe plays calls against endpoints that answer by a script. The command
+// names the route and may give the patience; the input is one line for each try.
+func TestServe(t *testing.T) {
+	f := &fleet{document: readDocument(t)}
+	for i, e := range []struct {
+		pool string
+		role controlv1.Role
+	}{
+		{"desk", controlv1.Role_ROLE_SERVICE},
+		{"desk", controlv1.Role_ROLE_SERVICE},
+		{"desk", controlv1.Role_ROLE_SERVICE},
+		{"engines", controlv1.Role_ROLE_PREFILL},
+		{"engines", controlv1.Role_ROLE_DECODE},
+		{"engines", controlv1.Role_ROLE_DECODE},
+		{"engines", controlv1.Role_ROLE_DECODE},
+	} {
+		f.endpoints = append(f.endpoints, &controlv1.Endpoint{
+			Name: fmt.Sprint("e", i), Address: fmt.Sprintf("10.0.0.%d:80", i+1), Serves: e.pool, Role: e.role,
+			State: controlv1.EndpointState_ENDPOINT_STATE_READY,
+		})
+	}
+	datadriven.RunTest(t, "testdata/serve", func(t *testing.T, d *datadriven.TestData) string {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		s := &endpoints{}
+		if in := strings.TrimSpace(d.Input); in != "" {
+			s.script = strings.Split(in, "\n")
+		}
+		budget := Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+		if d.HasArg("no-budget") {
+			budget = Budget{}
+		}
+		r := New(f, s, s, "osu", budget, logrus.NewEntry(log))
+		if d.HasArg("stopping") {
+			r.Stop()
+		}
+		c := &Call{ID: "r", Method: http.MethodPost, Host: "desk.example", Path: "/" + d.Cmd + "/1", Target: "/" + d.Cmd + "/1", Header: http.Header{}, Arrived: time.Now()}
+		if d.HasArg("prompt") {
+			c.Prompt = Prompt{Model: "m", Tokens: 3000, ExpectedOutput: 700, MaxOutput: 1800}
+		}
+		out := &caller{}
+		r.Serve(t.Context(), c, out)
+		return strings.Join(append(s.seen, out.out.String()), "\n")
+	})
+}
+
+func readDocument(t *testing.T) *document.Document {
+	t.Helper()
+	d, err := document.Parse([]byte(`{"Number": 1, "Level": 2,
+ "Pools": [{"Name": "desk"}, {"Name": "empty"}, {"Name": "engines", "Engine": {"Slots": 12, "MemoryTokens": 33466, "HandleLives": "500ms", "HoldLives": "2s"}}],
+ "Routes": [
+  {"Name": "holds", "Host": "desk.example", "PathPrefix": "/holds/", "Kind": "Once", "Split": [{"Name": "desk", "Weight": 1}], "Timeout": "300ms", "Target": "50ms"},
+  {"Name": "lookups", "Host": "desk.example", "PathPrefix": "/lookups/", "Kind": "Idempotent", "Split": [{"Name": "desk", "Weight": 1}], "Timeout": "300ms", "Target": "50ms", "Attempts": 2},
+  {"Name": "nowhere", "Host": "desk.example", "PathPrefix": "/nowhere/", "Kind": "Idempotent", "Split": [{"Name": "empty", "Weight": 1}], "Timeout": "300ms", "Attempts": 2},
+  {"Name": "deeds", "Host": "desk.example", "PathPrefix": "/deeds/", "Kind": "Stream", "Split": [{"Name": "engines", "Weight": 1}], "Timeout": "2s", "Target": "900ms", "Gap": "50ms", "Generates": true},
+  {"Name": "patient", "Host": "desk.example", "PathPrefix": "/patient/", "Kind": "Stream", "Split": [{"Name": "engines", "Weight": 1}], "Timeout": "14s", "Target": "900ms", "Gap": "300ms", "Generates": true},
+  {"Name": "letters", "Host": "desk.example", "PathPrefix": "/letters/", "Kind": "Stream", "Split": [{"Name": "engines", "Weight": 1}], "Timeout": "2s", "Target": "100ms", "Gap": "50ms", "Attempts": 2, "Resumable": true, "Generates": true}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
