--- a/control/server.go
+++ b/control/server.go
@@ -21,6 +21,8 @@
 	MemberLease = 3 * time.Second
 	// progressInterval is the time between progress marks on an idle watch.
 	progressInterval = time.Second
+	// touchInterval is the time between looks whether the host is in touch.
+	touchInterval = 200 * time.Millisecond
 )
 
 // Server answers the control service.
@@ -110,12 +112,7 @@
 func (s *Server) Watch(ctx context.Context, r *connect.Request[controlv1.WatchRequest], out *connect.ServerStream[controlv1.WatchResponse]) error {
 	next := r.Msg.GetFromRevision()
 	keys := state.Range{Prefix: r.Msg.GetPrefix(), Without: r.Msg.GetWithout()}
-	tick := time.NewTicker(progressInterval)
-	defer tick.Stop()
 	for {
-		if !s.store.InTouch() {
-			return refuse(&CutOffError{})
-		}
 		changed := s.store.Changed()
 		events, rev, err := s.store.Since(keys, next)
 		if err != nil {
@@ -125,13 +122,33 @@
 			return err
 		}
 		next = rev + 1
+		if err := s.awaitChange(ctx, changed); err != nil {
+			return err
+		}
+	}
+}
+
+// awaitChange returns at the next change, or when a progress mark is due. The
+// error ends the watch.
+func (s *Server) awaitChange(ctx context.Context, changed <-chan struct{}) error {
+	progress := time.NewTimer(progressInterval)
+	defer progress.Stop()
+	touch := time.NewTicker(touchInterval)
+	defer touch.Stop()
+	for {
+		if !s.store.InTouch() {
+			return refuse(&CutOffError{})
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-s.store.Done():
 			return refuse(&ClosedError{})
 		case <-changed:
-		case <-tick.C:
+			return nil
+		case <-progress.C:
+			return nil
+		case <-touch.C:
 		}
 	}
 }
--- a/control/store.go
+++ b/control/store.go
@@ -26,8 +26,10 @@
 const (
 	// expiryInterval is the time between looks for lapsed members.
 	expiryInterval = 250 * time.Millisecond
-	// touchTimeout is how long watches are served without a sign of a leader.
-	touchTimeout = 2 * time.Second
+	// touchTimeout is how long watches are served without a sign of a leader,
+	// which comes ten times a second. A document has to be in force everywhere
+	// within 2 s of its acceptance, also beside a host that is cut off.
+	touchTimeout = time.Second
 )
 
 // Status is what a control host knows of itself.
--- a/controls/announcer.go
+++ b/controls/announcer.go
@@ -115,6 +115,8 @@
 		a.behindSince = time.Time{}
 	case a.behindSince.IsZero():
 		a.behindSince = time.Now()
+	default:
+		a.view.Behind()
 	}
 }
 
--- a/controls/view.go
+++ b/controls/view.go
@@ -20,7 +20,7 @@
 const (
 	// silence is how long a watch may bring nothing, not even a progress
 	// mark, before it is given up.
-	silence = 3 * time.Second
+	silence = 2 * time.Second
 	// relistSpread is the widest pause before a relist; pauses are random so
 	// that processes do not all list at once after a failover.
 	relistSpread = 500 * time.Millisecond
@@ -47,6 +47,8 @@
 	// at is the control host that is watched; only Run uses it. It begins at
 	// random, which spreads the watches.
 	at int
+	// behind asks for the watch of another host.
+	behind chan struct{}
 
 	mu sync.RWMutex
 	// revision is that of the last change applied; it never goes back.
@@ -81,6 +83,7 @@
 		endpoints:   map[string]*controlv1.Endpoint{},
 		served:      map[string][]*controlv1.Endpoint{},
 		changed:     make(chan struct{}),
+		behind:      make(chan struct{}, 1),
 	}
 }
 
@@ -142,6 +145,15 @@
 	return nil
 }
 
+// Behind tells the view that control has a newer document: what is watched may
+// be cut off, so that another host is watched instead.
+func (v *View) Behind() {
+	select {
+	case v.behind <- struct{}{}:
+	default:
+	}
+}
+
 // watch reads one stream of events until it ends or falls silent.
 func (v *View) watch(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -153,6 +165,14 @@
 		return err
 	}
 	defer func() { _ = s.Close() }()
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-v.behind:
+			v.log.WithField("Revision", v.Revision()).Warn("view is behind, another control host is watched")
+			cancel()
+		}
+	}()
 	for s.Receive() {
 		quiet.Reset(silence)
 		if err := v.apply(s.Msg()); err != nil {
--- a/proof/control_cutoff_test.go
+++ b/proof/control_cutoff_test.go
@@ -17,7 +17,7 @@
 const (
 	// watchEndTarget is the time after which a control host that is cut off
 	// may serve no watch.
-	watchEndTarget = 4 * time.Second
+	watchEndTarget = 2 * time.Second
 	// cutOffLength is the silence before a host is asked.
 	cutOffLength = 5 * time.Second
 )
