--- a/cmd/entry/command.go
+++ b/cmd/entry/command.go
@@ -110,6 +110,7 @@
 		return err
 	}
 	go announcer.Run(base)
+	go f.decisions.Run()
 	failed := make(chan error, 2)
 	go func() { failed <- transport.ServeSecure(base, w.callers, s.Callers, f.certificates) }()
 	go func() { failed <- transport.ServeSecure(base, w.operators, s.Operators, f.security.Certificates) }()
@@ -121,9 +122,11 @@
 	case <-stopping.Done():
 	}
 	w.stop(base)
+	log.Info("connections are closed once their answers have ended")
 	if err := announcer.Leave(base, true); err != nil {
 		log.WithError(err).Warn("leave failed, the lease will lapse")
 	}
+	log.Info("membership left")
 	process.Shutdown(log, w.callers, w.operators)
 	log.Info("stopped")
 	f.decisions.Close()
@@ -157,7 +160,6 @@
 	server := entry.NewServer(p.settings.Name, p.client, p.view, p.announcer, pool, policy, f.decisions, f.tracer, p.log)
 	go pool.RunReleases(ctx)
 	go pool.RunRenewals(ctx)
-	go f.decisions.Run()
 	return work{
 		callers: transport.NewServer(server.Handler()), operators: transport.NewServer(operatorRoutes(server, stop, f.security)),
 		stop: server.Stop,
--- a/cmd/entry/platform.go
+++ b/cmd/entry/platform.go
@@ -26,6 +26,9 @@
 	return work{
 		callers:   transport.NewCallersServer(platform.NewFront(r, p.view.Document, gate.Leaving, p.log)),
 		operators: transport.NewServer(m),
-		stop:      gate.Stop,
+		stop: func(ctx context.Context) {
+			gate.Stop(ctx)
+			r.Drain()
+		},
 	}, nil
 }
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"ebonyreel/controls"
 )
 
+// twoMisses is the time in which a balancer that looks once a second has missed
+// an entry twice, after which it sends no new connections.
+const twoMisses = 2500 * time.Millisecond
+
 // Gate says whether an entry takes calls of routes. Such an entry serves on
 // with the document that it has while control can't be reached.
 type Gate struct {
@@ -37,5 +42,5 @@
 func (g *Gate) Stop(ctx context.Context) {
 	g.leaving.Store(true)
 	g.log.Info("unready")
-	sleep(ctx, balancerNotice)
+	sleep(ctx, twoMisses)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,6 +23,8 @@
 	unreadyPause = 500 * time.Millisecond
 	busyPause    = 200 * time.Millisecond
 	lostPause    = 500 * time.Millisecond
+	// elsewherePause is when a caller may go to another entry.
+	elsewherePause = 10 * time.Millisecond
 	// leastWork is the shortest time in which sending a request makes sense.
 	leastWork = 5 * time.Millisecond
 	// unsentTries bounds the endpoints that are dialled in vain for one request.
@@ -61,8 +63,9 @@
 	retries sync.Map
 	// lines maps the name of a pool to its *line.
 	lines sync.Map
-	// stopping is true once new calls are refused.
-	stopping atomic.Bool
+	// draining is true once new streams are refused, which may last longer than
+	// the process.
+	draining atomic.Bool
 	// working counts calls in flight.
 	working atomic.Int64
 	counts  *counts
@@ -73,14 +76,9 @@
 	return &Relay{fleet: f, sender: s, engines: e, domain: domain, budget: b, log: log, counts: newCounts()}
 }
 
-// Stop makes the relay refuse new calls.
-func (r *Relay) Stop() {
-	r.stopping.Store(true)
-}
-
-// Working returns the number of calls in flight.
-func (r *Relay) Working() int {
-	return int(r.working.Load())
+// Drain makes the relay refuse new streams; short calls are served on.
+func (r *Relay) Drain() {
+	r.draining.Store(true)
 }
 
 // visit is one call on its way.
@@ -123,11 +121,7 @@
 	defer r.working.Add(-1)
 	v := &visit{call: c, answer: a, last: c.LastEvent, tried: map[string]bool{}}
 	d := r.fleet.Document()
-	switch {
-	case r.stopping.Load():
-		r.refuse(v, Refusal{Reason: Stopping, RetryAfter: unreadyPause}, nil)
-		return
-	case d == nil:
+	if d == nil {
 		r.refuse(v, Refusal{Reason: Unready, RetryAfter: unreadyPause}, nil)
 		return
 	}
@@ -137,6 +131,10 @@
 		r.refuse(v, Refusal{Reason: NoRoute}, nil)
 		return
 	}
+	if v.route.Kind == document.KindStream && r.draining.Load() {
+		r.refuse(v, Refusal{Reason: Stopping, RetryAfter: elsewherePause}, nil)
+		return
+	}
 	v.pool, _ = d.Pool(pickShare(v.route.Split))
 	v.deadline = c.Arrived.Add(time.Duration(v.route.Timeout))
 	if by := c.Arrived.Add(c.Patience); c.Patience > 0 && by.Before(v.deadline) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -191,8 +191,8 @@
 			budget = Budget{}
 		}
 		r := New(f, s, s, "osu", budget, logrus.NewEntry(log))
-		if d.HasArg("stopping") {
-			r.Stop()
+		if d.HasArg("draining") {
+			r.Drain()
 		}
 		c := &Call{ID: "r", Method: http.MethodPost, Host: "desk.example", Path: "/" + d.Cmd + "/1", Target: "/" + d.Cmd + "/1", Header: http.Header{}, Arrived: time.Now()}
 		if d.HasArg("prompt") {
