--- a/control/loop.go
+++ b/control/loop.go
@@ -15,7 +15,10 @@
 )
 
 const (
-	electionTimeout   = 700 * time.Millisecond
+	electionTimeout = 700 * time.Millisecond
+	// firstElection is long enough for the other hosts to listen when all start
+	// at once, and several round trips and syncs of the disk.
+	firstElection     = 500 * time.Millisecond
 	heartbeatInterval = 100 * time.Millisecond
 	tickInterval      = 25 * time.Millisecond
 	// inputRing is the number of inputs that may wait for the loop, and
--- a/control/store.go
+++ b/control/store.go
@@ -130,7 +130,7 @@
 
 func newLoop(s *Store, j *writeahead.Log, c *writeahead.Content, log *logrus.Entry) *loop {
 	o := replica.Options{
-		ID: c.ID, ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, AppendBytes: appendBytes,
+		ID: c.ID, ElectionTimeout: electionTimeout, FirstElection: firstElection, HeartbeatInterval: heartbeatInterval, AppendBytes: appendBytes,
 		Random: func(d time.Duration) time.Duration { return rand.N(d) },
 	}
 	l := &loop{
--- a/controls/view.go
+++ b/controls/view.go
@@ -232,7 +232,9 @@
 }
 
 func (v *View) putEndpoint(key string, e *controlv1.Endpoint) {
-	if old := v.endpoints[key]; old.GetState() != e.GetState() || old.GetLifetime() != e.GetLifetime() {
+	old := v.endpoints[key]
+	news := old != nil || e.GetState() != controlv1.EndpointState_ENDPOINT_STATE_GONE
+	if news && (old.GetState() != e.GetState() || old.GetLifetime() != e.GetLifetime()) {
 		v.log.WithFields(logrus.Fields{
 			"Endpoint": e.GetName(), "Address": e.GetAddress(), "Serves": e.GetServes(), "Lifetime": e.GetLifetime(),
 			"State": e.GetState().String(), "Was": old.GetState().String(),
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -48,6 +48,10 @@
 	// ElectionTimeout is the silence after which a leader is given up. The
 	// wait before a campaign is up to twice as long, at random.
 	ElectionTimeout time.Duration
+	// FirstElection bounds the wait of a node that has just started, at random;
+	// zero means that it waits as after a silence. A running leader is not
+	// disturbed, as pre-votes are refused then.
+	FirstElection time.Duration
 	// HeartbeatInterval is well below ElectionTimeout.
 	HeartbeatInterval time.Duration
 	// AppendBytes bounds the entries of one message, beyond the first.
@@ -115,6 +119,9 @@
 	n.stable = n.log.last()
 	n.configure()
 	n.delayElection()
+	if o.FirstElection > 0 {
+		n.electionDue = now.Add(o.FirstElection/4 + o.Random(o.FirstElection*3/4))
+	}
 	return n
 }
 
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -21,7 +21,9 @@
 	// how long its answer may take.
 	pingAfter   = time.Second
 	pingTimeout = time.Second
-	dialTimeout = time.Second
+	// dialTimeout is many round trips between failure domains: a host that has
+	// no power answers nothing, and another one can.
+	dialTimeout = 300 * time.Millisecond
 	// endpointDialTimeout is shorter: another endpoint can take the request, and
 	// a lost packet is sent again only after a second.
 	endpointDialTimeout = 250 * time.Millisecond
