--- a/settings/settings.go
+++ b/settings/settings.go
@@ -95,7 +95,7 @@
 	// Cluster lists all control hosts, this one included, in the same order
 	// on each; empty means that this host is alone. When no host has a state
 	// yet, the first one begins it.
-	Cluster []ControlHost
+	Cluster []ControlHost `json:",omitempty"`
 	// Seeds are addresses of control hosts, where Cluster is not set: the hosts
 	// find each other there, and replace each other without an operator.
 	Seeds []netip.AddrPort `json:",omitempty"`
