--- a/relay/errors.go
+++ b/relay/errors.go
@@ -37,6 +37,16 @@
 	return fmt.Sprintf("endpoint did not run the request, status %d", e.Status)
 }
 
+// WaitError reports a request for which no engine had memory in time.
+type WaitError struct {
+	Waited time.Duration
+}
+
+// Error says how long it waited.
+func (e *WaitError) Error() string {
+	return fmt.Sprintf("no engine had memory within %s", e.Waited)
+}
+
 // StatusError reports an endpoint that failed a request.
 type StatusError struct {
 	Status int
@@ -84,11 +94,12 @@
 func reasonOf(err error) Reason {
 	var none *PlaceError
 	var taken *FullError
+	var waited *WaitError
 	var unsent *transport.DialError
 	switch {
 	case errors.As(err, &none):
 		return NoEndpoint
-	case errors.As(err, &taken):
+	case errors.As(err, &taken), errors.As(err, &waited):
 		return Busy
 	case errors.As(err, &unsent):
 		return Unreachable
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -133,12 +133,12 @@
 // seat waits for memory at one of the engines.
 func (r *Relay) seat(ctx context.Context, v *visit) (seat, error) {
 	l := r.lineOf(v.pool.Name)
-	target := v.call.Arrived.Add(time.Duration(v.route.Target) - decodeStart)
+	start, target := time.Now(), v.heard().Add(time.Duration(v.route.Target)-decodeStart)
 	ctx, cancel := context.WithDeadline(ctx, v.abandoned().Add(-decodeStart))
 	defer cancel()
 	for {
 		if err := l.enter(ctx, target, v.route.Priority); err != nil {
-			return seat{}, &FullError{}
+			return seat{}, &WaitError{Waited: time.Since(start)}
 		}
 		s, err := r.ask(ctx, v)
 		var taken *FullError
@@ -146,15 +146,23 @@
 			pause(ctx, turnPause)
 		}
 		l.leave()
-		if !errors.As(err, &taken) || ctx.Err() != nil {
+		if !errors.As(err, &taken) {
 			return s, err
 		}
 	}
 }
 
-// abandoned is when the caller leaves if the first event has not come.
+// heard is when the caller was last sent something, or when it came.
+func (v *visit) heard() time.Time {
+	if v.latest.IsZero() {
+		return v.call.Arrived
+	}
+	return v.latest
+}
+
+// abandoned is when the caller leaves if the next event has not come.
 func (v *visit) abandoned() time.Time {
-	return v.call.Arrived.Add(max(leastPatience, abandonTargets*time.Duration(v.route.Target), abandonGaps*time.Duration(v.route.Gap)))
+	return v.heard().Add(max(leastPatience, abandonTargets*time.Duration(v.route.Target), abandonGaps*time.Duration(v.route.Gap)))
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -192,13 +192,14 @@
 	reason := reasonOf(err)
 	var unsent *transport.DialError
 	var gone *GoneError
+	var waited *WaitError
 	switch {
 	case errors.As(err, &gone):
 		return false
 	case errors.As(err, &unsent):
 		v.unsent++
 		return v.unsent < unsentTries
-	case reason == NoEndpoint:
+	case reason == NoEndpoint, errors.As(err, &waited):
 		return false
 	case !reason.NotRun() && !v.route.Repeatable():
 		return false
