--- a/control/balance.go
+++ b/control/balance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -201,6 +202,9 @@
 			delete(s.uses, key)
 			continue
 		}
+		if !strings.HasPrefix(key, state.MemberPrefix(environment)) {
+			continue
+		}
 		for _, u := range r.uses {
 			sum := out[u.GetPool()]
 			out[u.GetPool()] = stages.Use{Prefill: sum.Prefill + u.GetPrefill(), Decode: sum.Decode + u.GetDecode()}
--- a/controls/announcer.go
+++ b/controls/announcer.go
@@ -110,6 +110,9 @@
 	defer a.mu.Unlock()
 	a.member.Incarnation = res.GetIncarnation()
 	a.until = asked.Add(res.GetLease().AsDuration())
+	if d := a.view.Document(); d != nil {
+		number = d.Number
+	}
 	switch {
 	case number >= res.GetDocumentNumber():
 		a.behindSince = time.Time{}
--- a/relay/line.go
+++ b/relay/line.go
@@ -70,13 +70,6 @@
 	l.advance(time.Now())
 }
 
-// length is the number of requests that wait.
-func (l *line) length() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.waiting)
-}
-
 func (l *line) advance(now time.Time) {
 	for l.asking < askers && len(l.waiting) > 0 {
 		p := l.next(now)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -189,6 +189,7 @@
 func (c *caller) Refuse(f Refusal) error {
 	return c.write("refused %s not-run=%t retry-after=%s\n", f.Reason, f.Reason.NotRun(), f.RetryAfter)
 }
+
 func (c *caller) Whole(r *Reply, body []byte) error { return c.write("whole %d %s\n", r.Status, body) }
 func (c *caller) Begin(*Reply) error                { return c.write("begin\n") }
 func (c *caller) Event(b []byte) error              { return c.write("event %s\n", strings.Fields(string(b))[1]) }
