--- a/relay/burst_test.go
+++ b/relay/burst_test.go
@@ -171,15 +171,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := &line{}
 		for range askers {
-			if err := l.enter(t.Context(), time.Time{}, 0); err != nil {
-				t.Fatal(err)
+			if !l.enter(t.Context(), newPlace(time.Time{}, time.Now().Add(time.Hour), 0)) {
+				t.Fatal("no turn")
 			}
 		}
 		var order []string
 		var mu sync.Mutex
 		enter := func(name string, target time.Duration, priority int) {
 			go func() {
-				if l.enter(t.Context(), time.Now().Add(target), priority) == nil {
+				if l.enter(t.Context(), newPlace(time.Now().Add(target), time.Now().Add(time.Hour), priority)) {
 					mu.Lock()
 					order = append(order, name)
 					mu.Unlock()
@@ -193,7 +193,7 @@
 		enter("urgent", time.Second, 0)
 		enter("third", time.Second, 1)
 		for range 5 {
-			l.leave()
+			l.leave(true)
 			synctest.Wait()
 		}
 		if got, want := fmt.Sprint(order), "[urgent first second late third]"; got != want {
@@ -201,3 +201,44 @@
 		}
 	})
 }
+
+// TestLineRefuses answers the pattern "far more users come than can be served":
+// with five grants a second, of thirty late calls that leave in two seconds some
+// ten wait, and the others are told at once.
+func TestLineRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &line{}
+		const grantsPerSecond, callers = 5, 30
+		for range 5 * grantsPerSecond {
+			if !l.enter(t.Context(), newPlace(time.Time{}, time.Now().Add(time.Hour), 0)) {
+				t.Fatal("no turn")
+			}
+			time.Sleep(time.Second / grantsPerSecond)
+			l.leave(true)
+		}
+		for range askers {
+			l.enter(t.Context(), newPlace(time.Time{}, time.Now().Add(time.Hour), 0))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		refused := make(chan time.Duration, callers)
+		start := time.Now()
+		for range callers {
+			go func() {
+				if !l.enter(ctx, newPlace(start, start.Add(2*time.Second), 0)) {
+					refused <- time.Since(start)
+				}
+			}()
+		}
+		synctest.Wait()
+		n := len(refused)
+		if n < callers-2*grantsPerSecond-3 || n > callers-2*grantsPerSecond+3 {
+			t.Errorf("%d of %d refused", n, callers)
+		}
+		for range n {
+			if took := <-refused; took > 0 {
+				t.Errorf("refused after %s", took)
+			}
+		}
+	})
+}
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -134,10 +134,11 @@
 func (r *Relay) seat(ctx context.Context, v *visit) (seat, error) {
 	l := r.lineOf(v.pool.Name)
 	start, target := time.Now(), v.heard().Add(time.Duration(v.route.Target)-decodeStart)
-	ctx, cancel := context.WithDeadline(ctx, v.abandoned().Add(-decodeStart))
+	leaves := v.abandoned().Add(-decodeStart)
+	ctx, cancel := context.WithDeadline(ctx, leaves)
 	defer cancel()
 	for {
-		if err := l.enter(ctx, target, v.route.Priority); err != nil {
+		if !l.enter(ctx, newPlace(target, leaves, v.route.Priority)) {
 			return seat{}, &WaitError{Waited: time.Since(start)}
 		}
 		s, err := r.ask(ctx, v)
@@ -145,7 +146,7 @@
 		if errors.As(err, &taken) {
 			pause(ctx, turnPause)
 		}
-		l.leave()
+		l.leave(err == nil)
 		if !errors.As(err, &taken) {
 			return s, err
 		}
--- a/relay/line.go
+++ b/relay/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 )
@@ -13,11 +14,16 @@
 	// lateTurn is how many requests that can still meet their target go before
 	// each one that has missed it while both wait.
 	lateTurn = 3
+	// rateMemory is the time over which grants of memory are counted.
+	rateMemory = 2 * time.Second
+	// knownGrants is the number of grants before the rate is relied on.
+	knownGrants = 10
 )
 
 // line is the requests that wait for the memory of a pool's engines. Those that
 // can still meet their target go first, by arrival, and so do the late ones
-// after them. The zero value is empty. It is safe for concurrent use.
+// after them. Who would not have a turn before leaving is refused at once. The
+// zero value is empty. It is safe for concurrent use.
 type line struct {
 	mu sync.Mutex
 	// waiting is in order of arrival.
@@ -26,28 +32,41 @@
 	asking int
 	// turns counts fresh requests taken since the last late one.
 	turns int
+	// rate is the grants in a second, as of counted, and grants their number.
+	rate    float64
+	counted time.Time
+	grants  int
 }
 
 // place is one waiting request.
 type place struct {
-	// target is until when a turn lets the request meet its target.
+	// target is until when a turn lets the request meet its target, and leaves
+	// until when a turn is of any use.
 	target time.Time
+	leaves time.Time
 	// priority is 0 for the most urgent.
 	priority int
-	// turn is closed when the request has its turn.
-	turn chan struct{}
+	// turn is closed when the request has its turn, refused when it will not have
+	// one in time.
+	turn    chan struct{}
+	refused chan struct{}
 }
 
-// enter waits for a turn. leave must be called after a nil error.
-func (l *line) enter(ctx context.Context, target time.Time, priority int) error {
-	p := &place{target: target, priority: priority, turn: make(chan struct{})}
+func newPlace(target, leaves time.Time, priority int) *place {
+	return &place{target: target, leaves: leaves, priority: priority, turn: make(chan struct{}), refused: make(chan struct{})}
+}
+
+// enter waits for a turn. leave must be called where it reports true.
+func (l *line) enter(ctx context.Context, p *place) bool {
 	l.mu.Lock()
 	l.waiting = append(l.waiting, p)
 	l.advance(time.Now())
 	l.mu.Unlock()
 	select {
 	case <-p.turn:
-		return nil
+		return true
+	case <-p.refused:
+		return false
 	case <-ctx.Done():
 	}
 	l.mu.Lock()
@@ -59,15 +78,26 @@
 	default:
 		l.remove(p)
 	}
-	return ctx.Err()
+	return false
 }
 
-// leave ends a turn.
-func (l *line) leave() {
+// leave ends a turn. granted says whether it brought memory.
+func (l *line) leave(granted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
+	if granted {
+		l.rate = l.rateAt(now) + 1/rateMemory.Seconds()
+		l.counted = now
+		l.grants++
+	}
 	l.asking--
-	l.advance(time.Now())
+	l.advance(now)
+}
+
+// rateAt is the rate of grants at a time.
+func (l *line) rateAt(now time.Time) float64 {
+	return l.rate * math.Exp(-float64(now.Sub(l.counted))/float64(rateMemory))
 }
 
 func (l *line) advance(now time.Time) {
@@ -77,6 +107,39 @@
 		l.asking++
 		close(p.turn)
 	}
+	l.refuse(now)
+}
+
+// refuse ends the wait of requests that will have left before their turn, at the
+// present rate of grants.
+func (l *line) refuse(now time.Time) {
+	rate := l.rateAt(now)
+	if l.grants < knownGrants || rate <= 0 {
+		return
+	}
+	fresh, late := 0, 0
+	for _, p := range l.waiting {
+		if now.Before(p.target) {
+			fresh++
+		}
+	}
+	lateRate := rate
+	if fresh > 0 {
+		lateRate = rate / (lateTurn + 1)
+	}
+	kept := l.waiting[:0]
+	for _, p := range l.waiting {
+		if !now.Before(p.target) {
+			late++
+			if wait := time.Duration(float64(late) / lateRate * float64(time.Second)); now.Add(wait).After(p.leaves) {
+				late--
+				close(p.refused)
+				continue
+			}
+		}
+		kept = append(kept, p)
+	}
+	l.waiting = kept
 }
 
 // next returns the request that goes next.
