--- a/cmd/entry/platform.go
+++ b/cmd/entry/platform.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"ebonyreel/controls"
 	"ebonyreel/entry"
 	"ebonyreel/platform"
 	"ebonyreel/process"
@@ -13,11 +14,12 @@
 )
 
 // platform serves the calls of the users' platform.
-func (p parts) platform(context.Context, func()) (work, error) {
+func (p parts) platform(ctx context.Context, _ func()) (work, error) {
 	s := p.settings
 	budget := relay.Budget{Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack, Window: time.Duration(s.RetryBudget.Window)}
 	w := platform.NewWorker()
-	r := relay.New(p.view, w, w, s.FailureDomain, budget, p.log)
+	r := relay.New(p.view, w, w, controls.NewStrikes(p.client, p.view), s.FailureDomain, budget, p.log)
+	go r.RunStrikes(ctx)
 	p.announcer.ReportUses(r.Uses)
 	gate := entry.NewGate(p.view, p.log)
 	m := http.NewServeMux()
--- /dev/null
+++ b/controls/strikes.go
@@ -0,0 +1,25 @@
+package controls
+
+import (
+	"context"
+
+	controlv1 "ebonyreel/proto/control/v1"
+)
+
+// Strikes counts crashes against contents at control, and reads them from a
+// view.
+type Strikes struct {
+	*View
+	client *Client
+}
+
+// NewStrikes returns the strikes of a view's environment.
+func NewStrikes(c *Client, v *View) Strikes {
+	return Strikes{View: v, client: c}
+}
+
+// Strike counts one crash.
+func (s Strikes) Strike(ctx context.Context, digest string) error {
+	_, err := s.client.AddStrikes(ctx, &controlv1.AddStrikesRequest{Environment: s.environment, ContentDigests: []string{digest}})
+	return err
+}
--- a/controls/view.go
+++ b/controls/view.go
@@ -372,6 +372,13 @@
 	return v.strikes[digest].GetCount()
 }
 
+// Struck reports whether any content was part of a crash.
+func (v *View) Struck() bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return len(v.strikes) > 0
+}
+
 // Condemned reports whether a content crashed an endpoint where it ran alone.
 func (v *View) Condemned(digest string) bool {
 	v.mu.RLock()
--- a/relay/burst_test.go
+++ b/relay/burst_test.go
@@ -72,6 +72,7 @@
 	return &Reply{Status: http.StatusOK, Events: true, Header: http.Header{}, Body: out}, nil
 }
 
+func (e *engines) Alive(context.Context, Endpoint) bool         { return true }
 func (e *engines) Free(context.Context, Handle) error           { return nil }
 func (e *engines) Drop(context.Context, Endpoint, string) error { return nil }
 
@@ -118,7 +119,7 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		e := &engines{used: map[string]int{}, holds: map[string]string{}}
-		r := New(f, e, e, "osu", Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, logrus.NewEntry(log))
+		r := New(f, e, e, &endpoints{}, "osu", Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, logrus.NewEntry(log))
 		capacity := 4 * (engineTokens / callTokens)
 		perSecond := float64(capacity) / callTime.Seconds()
 		var all []*leaver
--- a/relay/call.go
+++ b/relay/call.go
@@ -138,14 +138,15 @@
 	TimedOut Reason = "timed_out"
 	// Unknown means that the request was sent and its answer was lost.
 	Unknown Reason = "outcome_unknown"
-	// Crashing means that the request crashed the endpoints that ran it.
+	// Crashing means that its content crashed endpoints before, and that it was
+	// not sent to another.
 	Crashing Reason = "crashing"
 )
 
 // NotRun reports whether the reason says that the request has not run.
 func (r Reason) NotRun() bool {
 	switch r {
-	case Unready, Stopping, NoEndpoint, Busy, Unreachable, Late:
+	case Unready, Stopping, NoEndpoint, Busy, Unreachable, Late, Crashing:
 		return true
 	}
 	return false
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -50,6 +50,8 @@
 	Free(ctx context.Context, h Handle) error
 	// Hold reserves a slot and memory for a time.
 	Hold(ctx context.Context, e Endpoint, tokens int, lives time.Duration) (string, error)
+	// Alive reports whether an endpoint takes connections.
+	Alive(ctx context.Context, e Endpoint) bool
 	// Drop gives a reservation back.
 	Drop(ctx context.Context, e Endpoint, hold string) error
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,6 +59,10 @@
 	budget Budget
 	log    *logrus.Entry
 	book   book
+	// strikes knows the contents that crashed endpoints; struck are crashes to be
+	// counted.
+	strikes Strikes
+	struck  chan suspicion
 	// retries maps the name of a pool to its *retries.
 	retries sync.Map
 	// lines maps the name of a pool to its *line.
@@ -72,8 +76,11 @@
 }
 
 // New returns a relay of an entry in a failure domain.
-func New(f Fleet, s Sender, e Engines, domain string, b Budget, log *logrus.Entry) *Relay {
-	return &Relay{fleet: f, sender: s, engines: e, domain: domain, budget: b, log: log, counts: newCounts()}
+func New(f Fleet, s Sender, e Engines, k Strikes, domain string, b Budget, log *logrus.Entry) *Relay {
+	return &Relay{
+		fleet: f, sender: s, engines: e, strikes: k, domain: domain, budget: b, log: log, counts: newCounts(),
+		struck: make(chan suspicion, strikeRing),
+	}
 }
 
 // Drain makes the relay refuse new streams; short calls are served on.
@@ -93,6 +100,8 @@
 	// the number dialled in vain.
 	sent   int
 	unsent int
+	// at is the endpoint of the current try.
+	at Endpoint
 	// ran is true once an endpoint may have run the call.
 	ran bool
 	// tried are the endpoints that the call was sent to.
@@ -135,6 +144,10 @@
 		r.refuse(v, Refusal{Reason: Stopping, RetryAfter: elsewherePause}, nil)
 		return
 	}
+	if r.condemned(c) {
+		r.refuse(v, Refusal{Reason: Crashing, RetryAfter: crashingPause}, nil)
+		return
+	}
 	v.pool, _ = d.Pool(pickShare(v.route.Split))
 	v.deadline = c.Arrived.Add(time.Duration(v.route.Timeout))
 	if by := c.Arrived.Add(c.Patience); c.Patience > 0 && by.Before(v.deadline) {
@@ -179,7 +192,10 @@
 			r.left(v, err)
 			return
 		}
-		if ctx.Err() != nil || !r.again(v, err) {
+		if crashed(err) {
+			r.strike(v)
+		}
+		if ctx.Err() != nil || r.condemned(v.call) || !r.again(v, err) {
 			r.giveUp(ctx, v, err)
 			return
 		}
@@ -322,7 +338,7 @@
 	defer cancel(nil)
 	w := newWatch(r.patience(v), cancel)
 	defer w.stop()
-	v.tried[t.Endpoint.Name] = true
+	v.tried[t.Endpoint.Name], v.at = true, t.Endpoint
 	reply, err := r.sender.Send(ctx, v.call, t)
 	var unsent *transport.DialError
 	if errors.As(err, &unsent) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -48,6 +49,8 @@
 	seen []string
 	// ran is how long a stream has run before it hangs.
 	ran time.Duration
+	// strikes counts the crashes of any content.
+	strikes uint32
 }
 
 func (s *endpoints) next() string {
@@ -146,6 +149,15 @@
 
 func (h *hanging) Close() error { return nil }
 
+func number(t *testing.T, s string) int {
+	t.Helper()
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
 func lasting(t *testing.T, s string) time.Duration {
 	t.Helper()
 	d, err := time.ParseDuration(s)
@@ -171,8 +183,20 @@
 	return "hold", nil
 }
 
+func (s *endpoints) Alive(context.Context, Endpoint) bool { return false }
+
 func (s *endpoints) Drop(context.Context, Endpoint, string) error { return nil }
 
+// Struck, Strikes and Strike count crashes at once, in place of control.
+func (s *endpoints) Struck() bool { return s.strikes > 0 }
+
+func (s *endpoints) Strikes(string) uint32 { return s.strikes }
+
+func (s *endpoints) Strike(context.Context, string) error {
+	s.strikes++
+	return nil
+}
+
 // caller keeps what it was answered.
 type caller struct {
 	mu  sync.Mutex
@@ -227,7 +251,7 @@
 		if d.HasArg("no-budget") {
 			budget = Budget{}
 		}
-		r := New(f, s, s, "osu", budget, logrus.NewEntry(log))
+		r := New(f, s, s, s, "osu", budget, logrus.NewEntry(log))
 		if d.HasArg("draining") {
 			r.Drain()
 		}
@@ -235,6 +259,11 @@
 		if d.HasArg("prompt") {
 			c.Prompt = Prompt{Model: "m", Tokens: 3000, ExpectedOutput: 700, MaxOutput: 1800}
 		}
+		for _, a := range d.CmdArgs {
+			if a.Key == "crashes" {
+				s.strikes = uint32(number(t, a.Vals[0]))
+			}
+		}
 		out := &caller{}
 		for _, a := range d.CmdArgs {
 			if a.Key == "ran" {
