--- a/control/loop.go
+++ b/control/loop.go
@@ -71,6 +71,8 @@
 	// compacted that of the last snapshot.
 	applied   uint64
 	compacted uint64
+	// writing is a snapshot on its way to the disk, or nil.
+	writing *snapshotWrite
 	// waiters is keyed by index.
 	waiters map[uint64]waiter
 	// asked is keyed by the number of a read; confirmed wait to be applied.
@@ -95,6 +97,10 @@
 		case in := <-l.store.inputs:
 			in.enter(l, time.Now())
 			l.drain()
+		case err := <-l.writes():
+			if err := l.written(err); err != nil {
+				return err
+			}
 		}
 		l.node.Tick(time.Now())
 		l.retire(time.Now())
@@ -156,6 +162,9 @@
 	if r.Snapshot == nil {
 		return nil
 	}
+	if err := l.awaitSnapshot(); err != nil {
+		return err
+	}
 	if err := l.disk.Compact(r.Snapshot, l.node.HardState(), nil); err != nil {
 		return err
 	}
@@ -294,9 +303,10 @@
 	return &NotLeaderError{Address: l.peers.address(l.peers.name(l.last.Leader))}
 }
 
-// compact takes a snapshot once enough entries have been applied.
+// compact takes a snapshot once enough entries have been applied. It is written
+// beside the loop, which goes on with the old segment meanwhile.
 func (l *loop) compact() error {
-	if l.applied < l.compacted+compactEntries {
+	if l.writing != nil || l.applied < l.compacted+compactEntries {
 		return nil
 	}
 	b, err := l.store.snapshot()
@@ -306,13 +316,53 @@
 	s := &replicav1.Snapshot{
 		Index: l.applied, Term: l.node.Term(l.applied), Configuration: l.node.Configuration(l.applied), State: b,
 	}
-	l.node.Compact(s, keptEntries)
 	l.compacted = l.applied
-	err = l.disk.Compact(s, l.node.HardState(), l.node.Retained())
+	w := &snapshotWrite{snapshot: s, done: make(chan error, 1)}
+	l.writing = w
+	go func() { w.done <- l.disk.SaveSnapshot(s) }()
+	return nil
+}
+
+// snapshotWrite is a snapshot on its way to the disk.
+type snapshotWrite struct {
+	snapshot *replicav1.Snapshot
+	// done has room for the one outcome.
+	done chan error
+}
+
+// written cuts the log once its snapshot is on the disk.
+func (l *loop) written(err error) error {
+	s := l.writing.snapshot
+	l.writing = nil
 	var full *writeahead.FullError
 	if errors.As(err, &full) {
 		l.log.WithError(err).Warn("snapshot not written, the log goes on")
 		return nil
 	}
+	if err != nil {
+		return err
+	}
+	l.node.Compact(s, keptEntries)
+	err = l.disk.Begin(l.node.HardState(), l.node.Retained())
+	if errors.As(err, &full) {
+		l.log.WithError(err).Warn("segment not begun, the old one goes on")
+		return nil
+	}
 	return err
 }
+
+// awaitSnapshot waits for a snapshot on its way to the disk.
+func (l *loop) awaitSnapshot() error {
+	if l.writing == nil {
+		return nil
+	}
+	return l.written(<-l.writing.done)
+}
+
+// writes returns the channel of a snapshot on its way, or nil.
+func (l *loop) writes() <-chan error {
+	if l.writing == nil {
+		return nil
+	}
+	return l.writing.done
+}
--- a/writeahead/files.go
+++ b/writeahead/files.go
@@ -24,7 +24,8 @@
 	}
 	defer func() { _ = f.Close() }()
 	if _, err := f.Write(b); errors.Is(err, syscall.ENOSPC) {
-		return &FullError{Cause: err}
+		// What there is of the copy takes room that others need.
+		return &FullError{Cause: errors.Join(err, os.Remove(path+".new"))}
 	} else if err != nil {
 		return &SyncError{Cause: err}
 	}
--- a/writeahead/log.go
+++ b/writeahead/log.go
@@ -86,7 +86,7 @@
 		}
 		c.ID = rand.Text()
 		j.id = c.ID
-		return j, c, j.begin(nil, nil)
+		return j, c, j.Begin(nil, nil)
 	}
 	return j, c, j.resume(size)
 }
@@ -178,14 +178,15 @@
 // Compact saves a snapshot, and then begins a new segment with the entries
 // that are still needed. After a *FullError the old segment goes on.
 func (j *Log) Compact(s *replicav1.Snapshot, state *replicav1.HardState, entries []*replicav1.Entry) error {
-	if err := j.saveSnapshot(s); err != nil {
+	if err := j.SaveSnapshot(s); err != nil {
 		return err
 	}
-	return j.begin(state, entries)
+	return j.Begin(state, entries)
 }
 
-// begin puts a new segment in the place of the old one, all or nothing.
-func (j *Log) begin(state *replicav1.HardState, entries []*replicav1.Entry) error {
+// Begin puts a new segment with the entries after a saved snapshot in the place
+// of the old one, all or nothing.
+func (j *Log) Begin(state *replicav1.HardState, entries []*replicav1.Entry) error {
 	j.synced = 0
 	first := &replicav1.Record{Kind: &replicav1.Record_Id{Id: j.id}}
 	b, err := appendRecord(nil, first, 0)
@@ -213,7 +214,9 @@
 	return j.adopt(f, int64(len(j.batch)))
 }
 
-func (j *Log) saveSnapshot(s *replicav1.Snapshot) error {
+// SaveSnapshot writes a snapshot. It may run beside Save, but not beside another
+// SaveSnapshot; the old segment is needed until Begin.
+func (j *Log) SaveSnapshot(s *replicav1.Snapshot) error {
 	b, err := encodeSnapshot(j.id, s)
 	if err != nil {
 		return err
--- a/writeahead/log_test.go
+++ b/writeahead/log_test.go
@@ -63,7 +63,7 @@
 		c := &replicav1.Snapshot{Index: uint64(n[0]), Term: 1, State: []byte("state")}
 		return verdict(s.log.Compact(c, &replicav1.HardState{Term: 9}, entries(n[1], n[2], 1)))
 	case "half-compact":
-		return verdict(s.log.saveSnapshot(&replicav1.Snapshot{Index: uint64(n[0]), Term: 1, State: []byte("state")}))
+		return verdict(s.log.SaveSnapshot(&replicav1.Snapshot{Index: uint64(n[0]), Term: 1, State: []byte("state")}))
 	case "unsynced":
 		return s.unsynced(n[0], n[1])
 	case "cut":
