--- a/relay/book.go
+++ b/relay/book.go
@@ -31,6 +31,11 @@
 	longestRest = 4 * time.Second
 	// fullRest is how long an endpoint that was full rests.
 	fullRest = 50 * time.Millisecond
+	// plainSpread and engineSpread are the largest parts by which a cost is raised
+	// at random. An entry sees few of the calls at a plain endpoint, while an
+	// engine that is full says so.
+	plainSpread  = 0.8
+	engineSpread = 0.1
 	// sampled bounds the endpoints that are compared for one request.
 	sampled = 32
 	// forgetAfter is when an endpoint that is not used any more is forgotten.
@@ -156,7 +161,11 @@
 		cost += againCost
 	}
 	// Entries that know the same must not choose the same.
-	return cost * (1 + rand.Float64()*0.1)
+	spread := plainSpread
+	if c.weight > 1 {
+		spread = engineSpread
+	}
+	return cost * (1 + rand.Float64()*spread)
 }
 
 // slowness is an endpoint's latency in that of its pool; it fades with time.
