--- a/relay/generate.go
+++ b/relay/generate.go
@@ -90,7 +90,7 @@
 // generate makes one try at a model engine: memory is reserved first, then the
 // prompt is computed apart, then the answer is decoded where the memory is.
 func (r *Relay) generate(ctx context.Context, v *visit) error {
-	s, err := r.seat(ctx, v)
+	s, err := r.nextSeat(ctx, v)
 	if err != nil {
 		return err
 	}
@@ -132,11 +132,21 @@
 	}
 }
 
-// seat waits for memory at one of the engines.
-func (r *Relay) seat(ctx context.Context, v *visit) (seat, error) {
+// nextSeat returns memory that was prepared for this try, or waits for some.
+func (r *Relay) nextSeat(ctx context.Context, v *visit) (seat, error) {
+	if s := v.next; s != nil {
+		v.next = nil
+		return *s, nil
+	}
+	return r.seat(ctx, v, v.heard())
+}
+
+// seat waits for memory at one of the engines. heard is when the caller was last
+// sent something.
+func (r *Relay) seat(ctx context.Context, v *visit, heard time.Time) (seat, error) {
 	l := r.lineOf(v.pool.Name)
-	start, target := time.Now(), v.heard().Add(time.Duration(v.route.Target)-decodeStart)
-	leaves := v.abandoned().Add(-decodeStart)
+	start, target := time.Now(), heard.Add(time.Duration(v.route.Target)-decodeStart)
+	leaves := v.abandoned(heard).Add(-decodeStart)
 	ctx, cancel := context.WithDeadline(ctx, leaves)
 	defer cancel()
 	for {
@@ -164,8 +174,8 @@
 }
 
 // abandoned is when the caller leaves if the next event has not come.
-func (v *visit) abandoned() time.Time {
-	return v.heard().Add(max(leastPatience, abandonTargets*time.Duration(v.route.Target), abandonGaps*time.Duration(v.route.Gap)))
+func (v *visit) abandoned(heard time.Time) time.Time {
+	return heard.Add(max(leastPatience, abandonTargets*time.Duration(v.route.Target), abandonGaps*time.Duration(v.route.Gap)))
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -102,6 +102,10 @@
 	unsent int
 	// at is the endpoint of the current try.
 	at Endpoint
+	// next is memory for another try, and paid is true where the budget for it is
+	// taken.
+	next *seat
+	paid bool
 	// ran is true once an endpoint may have run the call.
 	ran bool
 	// tried are the endpoints that the call was sent to.
@@ -221,11 +225,16 @@
 		return false
 	}
 	enough := time.Until(v.deadline) > leastWork
+	if v.paid {
+		v.paid = false
+		return enough
+	}
 	return enough && v.sent < v.route.Attempts && r.budgetOf(v.pool.Name).take(r.budget, r.fleet.Entries())
 }
 
 // giveUp ends a call with its final answer, at once.
 func (r *Relay) giveUp(ctx context.Context, v *visit, err error) {
+	r.stay(v)
 	switch {
 	case v.begun:
 		r.counts.Broken.Add(1)
@@ -253,6 +262,7 @@
 
 // left notes a call whose caller has left.
 func (r *Relay) left(v *visit, err error) {
+	r.stay(v)
 	r.counts.Left.Add(1)
 	r.say(v, err).Info("caller has left")
 	v.answer.Abort()
@@ -336,8 +346,43 @@
 func (r *Relay) send(ctx context.Context, v *visit, t Try, start time.Time) (time.Duration, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	w := newWatch(r.patience(v), cancel)
-	defer w.stop()
+	w := newWatch(ctx, cancel, r.patience(v), func(ctx context.Context, silent time.Duration) bool { return r.elsewhere(ctx, v, silent) })
+	latency, err := r.exchange(ctx, v, t, w, start)
+	w.stop()
+	if err = because(ctx, err); err == nil || w.silent == nil {
+		r.stay(v)
+	}
+	return latency, err
+}
+
+// elsewhere prepares another try of a call whose endpoint is silent: the budget
+// and, at model engines, the memory for it.
+func (r *Relay) elsewhere(ctx context.Context, v *visit, silent time.Duration) bool {
+	if !r.budgetOf(v.pool.Name).take(r.budget, r.fleet.Entries()) {
+		return false
+	}
+	if v.generates() {
+		s, err := r.seat(ctx, v, time.Now().Add(-silent))
+		if err != nil {
+			return false
+		}
+		v.next = &s
+	}
+	v.paid = true
+	return true
+}
+
+// stay gives back what was prepared for a try that is not needed.
+func (r *Relay) stay(v *visit) {
+	if s := v.next; s != nil {
+		r.book.end(s.endpoint, unsaid, 0, float64(s.tokens))
+		go r.giveBack(Try{Endpoint: endpointOf(s.endpoint), Hold: s.hold})
+	}
+	v.next, v.paid = nil, false
+}
+
+// exchange sends a call and carries what comes back.
+func (r *Relay) exchange(ctx context.Context, v *visit, t Try, w *watch, start time.Time) (time.Duration, error) {
 	v.tried[t.Endpoint.Name], v.at = true, t.Endpoint
 	reply, err := r.sender.Send(ctx, v.call, t)
 	var unsent *transport.DialError
@@ -347,7 +392,7 @@
 	v.sent++
 	if err != nil {
 		v.ran = true
-		return 0, silenced(ctx, err)
+		return 0, err
 	}
 	defer func() { _ = reply.Body.Close() }()
 	if reply.NotRun || reply.Elsewhere {
@@ -401,7 +446,7 @@
 			return latency, r.endStream(v, reply)
 		}
 		if err != nil {
-			return latency, w.because(err)
+			return latency, err
 		}
 		if latency == 0 {
 			latency = time.Since(start)
--- a/relay/watch.go
+++ b/relay/watch.go
@@ -6,18 +6,26 @@
 	"time"
 )
 
-// watch ends a try whose endpoint is silent for too long.
+// watch ends a try whose endpoint is silent for too long, once the call can go
+// on elsewhere. Silence alone is no reason to end an answer.
 type watch struct {
-	timer  *time.Timer
+	// base is the context of the try, and cancel ends it.
+	base   context.Context
 	cancel context.CancelCauseFunc
-	// silent is what the try is ended with.
+	// elsewhere prepares another try. It reports whether there is one.
+	elsewhere func(ctx context.Context, silent time.Duration) bool
+	// on is false where the call can't be sent again.
+	on    bool
+	timer *time.Timer
+	// end stops the preparation, and done is closed when it has ended.
+	end  context.CancelFunc
+	done chan struct{}
+	// silent is what the try was ended with.
 	silent *SilentError
-	// on is false where an endpoint may be silent.
-	on bool
 }
 
-func newWatch(patience time.Duration, cancel context.CancelCauseFunc) *watch {
-	w := &watch{cancel: cancel, on: patience > 0}
+func newWatch(ctx context.Context, cancel context.CancelCauseFunc, patience time.Duration, elsewhere func(context.Context, time.Duration) bool) *watch {
+	w := &watch{base: ctx, cancel: cancel, elsewhere: elsewhere, on: patience > 0}
 	w.start(patience)
 	return w
 }
@@ -26,9 +34,16 @@
 	if !w.on || patience <= 0 {
 		return
 	}
-	silent := &SilentError{After: patience}
-	w.silent = silent
-	w.timer = time.AfterFunc(patience, func() { w.cancel(silent) })
+	ctx, end := context.WithCancel(w.base)
+	done := make(chan struct{})
+	w.end, w.done = end, done
+	w.timer = time.AfterFunc(patience, func() {
+		defer close(done)
+		if w.elsewhere(ctx, patience) && ctx.Err() == nil {
+			w.silent = &SilentError{After: patience}
+			w.cancel(w.silent)
+		}
+	})
 }
 
 // reset begins the silence anew.
@@ -37,24 +52,22 @@
 	w.start(patience)
 }
 
+// stop ends the watch. Nothing is prepared any more when it returns.
 func (w *watch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
+	if w.timer == nil {
+		return
 	}
-}
-
-// because returns the silence where it ended the try, else the error.
-func (w *watch) because(err error) error {
-	if w.silent != nil && errors.Is(err, context.Canceled) {
-		return w.silent
+	w.end()
+	if !w.timer.Stop() {
+		<-w.done
 	}
-	return err
+	w.timer = nil
 }
 
-// silenced returns the silence that ended a try, else the error.
-func silenced(ctx context.Context, err error) error {
+// because returns the silence where it ended the try, else the error.
+func because(ctx context.Context, err error) error {
 	var silent *SilentError
-	if errors.As(context.Cause(ctx), &silent) {
+	if err != nil && errors.As(context.Cause(ctx), &silent) {
 		return silent
 	}
 	return err
