--- a/control/endpoint.go
+++ b/control/endpoint.go
@@ -14,8 +14,8 @@
 // five heartbeats of the users' endpoints, of which some come seconds late.
 const EndpointLease = 6 * time.Second
 
-// heard is the newest announcement of an endpoint.
-type heard struct {
+// lastAnnouncement is the newest announcement of an endpoint.
+type lastAnnouncement struct {
 	lifetime int64
 	sequence uint64
 }
@@ -60,7 +60,7 @@
 	if s.state.EndpointByKey(key).GetLifetime() != e.GetLifetime() {
 		return
 	}
-	s.heard[key] = heard{lifetime: e.GetLifetime(), sequence: r.GetSequence()}
+	s.heard[key] = lastAnnouncement{lifetime: e.GetLifetime(), sequence: r.GetSequence()}
 	s.endpointLeases.Renew(key, time.Now(), EndpointLease)
 }
 
--- a/control/inputs.go
+++ b/control/inputs.go
@@ -54,11 +54,11 @@
 	return n
 }
 
-// sound is the number of voters that may stay and were heard lately.
-func (l *loop) sound() int {
+// healthyVoters is the number of voters that may stay and were heard lately.
+func (l *loop) healthyVoters() int {
 	n := 0
 	for _, s := range l.last.Configuration.GetServers() {
-		if !s.GetLearner() && l.peers.listed(s.GetName()) && l.node.Silence(s.GetId()) < silentHost {
+		if !s.GetLearner() && l.peers.listed(s.GetName()) && l.node.Silence(s.GetId()) < voterTimeout {
 			n++
 		}
 	}
@@ -126,7 +126,7 @@
 		case o.GetId() == r.GetId() && !o.GetLearner():
 			j.reply <- joined{voter: true}
 			return
-		case o.GetId() == r.GetId() && l.sound() >= l.store.voters:
+		case o.GetId() == r.GetId() && l.healthyVoters() >= l.store.voters:
 			// Enough hosts count; this one takes the place of the next that is
 			// lost.
 			j.reply <- joined{}
--- a/control/loop.go
+++ b/control/loop.go
@@ -28,9 +28,9 @@
 	appendBytes = 1 << 20
 	// fullPause is the time between tries to write to a full disk.
 	fullPause = 50 * time.Millisecond
-	// silentHost is the silence after which a voter's place goes to a host that
+	// voterTimeout is the silence after which a voter's place goes to a host that
 	// waits for one. A successor has to count within 4 s of its start.
-	silentHost = 2 * time.Second
+	voterTimeout = 2 * time.Second
 	// compactEntries is how many entries are applied between snapshots, and
 	// keptEntries how many of them stay for slow followers.
 	compactEntries = 20_000
@@ -288,7 +288,7 @@
 		return
 	}
 	for _, s := range l.last.Configuration.GetServers() {
-		silent := len(l.peers.fixed) == 0 && !s.GetLearner() && l.node.Silence(s.GetId()) >= silentHost
+		silent := len(l.peers.fixed) == 0 && !s.GetLearner() && l.node.Silence(s.GetId()) >= voterTimeout
 		if l.peers.listed(s.GetName()) && !silent {
 			continue
 		}
--- a/control/member.go
+++ b/control/member.go
@@ -59,7 +59,7 @@
 func (s *Store) grant(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leases, s.endpointLeases, s.heard = lease.Table{}, lease.Table{}, map[string]heard{}
+	s.leases, s.endpointLeases, s.heard = lease.Table{}, lease.Table{}, map[string]lastAnnouncement{}
 	items, _ := s.state.List(state.Range{})
 	for _, it := range items {
 		if it.GetMember() != nil {
--- a/control/store.go
+++ b/control/store.go
@@ -80,7 +80,7 @@
 	leases lease.Table
 	// endpointLeases and heard are guarded by mu and keyed by endpoint key.
 	endpointLeases lease.Table
-	heard          map[string]heard
+	heard          map[string]lastAnnouncement
 	// uses is guarded by mu and keyed by member key.
 	uses map[string]reported
 	// changed is guarded by mu; it is closed with each published change.
@@ -116,7 +116,7 @@
 		peers:     newPeers(c.ID, s, h, opts...),
 		inputs:    make(chan input, inputRing),
 		state:     state.New(s.WatchHistory),
-		heard:     map[string]heard{},
+		heard:     map[string]lastAnnouncement{},
 		uses:      map[string]reported{},
 		changed:   make(chan struct{}),
 		done:      make(chan struct{}),
--- a/relay/burst_test.go
+++ b/relay/burst_test.go
@@ -170,9 +170,9 @@
 // TestLine shows the order in which waiting calls get memory.
 func TestLine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := &line{}
+		l := &queue{}
 		for range askers {
-			if !l.enter(t.Context(), newPlace(time.Time{}, time.Now().Add(time.Hour), 0)) {
+			if !l.enter(t.Context(), newWaiter(time.Time{}, time.Now().Add(time.Hour), 0)) {
 				t.Fatal("no turn")
 			}
 		}
@@ -180,7 +180,7 @@
 		var mu sync.Mutex
 		enter := func(name string, target time.Duration, priority int) {
 			go func() {
-				if l.enter(t.Context(), newPlace(time.Now().Add(target), time.Now().Add(time.Hour), priority)) {
+				if l.enter(t.Context(), newWaiter(time.Now().Add(target), time.Now().Add(time.Hour), priority)) {
 					mu.Lock()
 					order = append(order, name)
 					mu.Unlock()
@@ -208,17 +208,17 @@
 // ten wait, and the others are told at once.
 func TestLineRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := &line{}
+		l := &queue{}
 		const grantsPerSecond, callers = 5, 30
 		for range 5 * grantsPerSecond {
-			if !l.enter(t.Context(), newPlace(time.Time{}, time.Now().Add(time.Hour), 0)) {
+			if !l.enter(t.Context(), newWaiter(time.Time{}, time.Now().Add(time.Hour), 0)) {
 				t.Fatal("no turn")
 			}
 			time.Sleep(time.Second / grantsPerSecond)
 			l.leave(true)
 		}
 		for range askers {
-			l.enter(t.Context(), newPlace(time.Time{}, time.Now().Add(time.Hour), 0))
+			l.enter(t.Context(), newWaiter(time.Time{}, time.Now().Add(time.Hour), 0))
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -226,7 +226,7 @@
 		start := time.Now()
 		for range callers {
 			go func() {
-				if !l.enter(ctx, newPlace(start, start.Add(2*time.Second), 0)) {
+				if !l.enter(ctx, newWaiter(start, start.Add(2*time.Second), 0)) {
 					refused <- time.Since(start)
 				}
 			}()
--- a/relay/errors.go
+++ b/relay/errors.go
@@ -11,13 +11,13 @@
 	"ebonyreel/transport"
 )
 
-// PlaceError reports that no endpoint of a pool is known.
-type PlaceError struct {
+// NoEndpointError reports that no endpoint of a pool is known.
+type NoEndpointError struct {
 	Pool string
 }
 
 // Error names the pool.
-func (e *PlaceError) Error() string {
+func (e *NoEndpointError) Error() string {
 	return "no endpoint serves " + e.Pool
 }
 
@@ -92,7 +92,7 @@
 
 // reasonOf returns the reason for a refusal after a failed try.
 func reasonOf(err error) Reason {
-	var none *PlaceError
+	var none *NoEndpointError
 	var taken *FullError
 	var waited *WaitError
 	var unsent *transport.DialError
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -56,8 +56,8 @@
 	Drop(ctx context.Context, e Endpoint, hold string) error
 }
 
-// seat is a place in an engine's batch for one request.
-type seat struct {
+// reservation is a place in an engine's batch for one request.
+type reservation struct {
 	endpoint *controlv1.Endpoint
 	hold     string
 	// tokens is the memory it takes.
@@ -90,11 +90,11 @@
 // generate makes one try at a model engine: memory is reserved first, then the
 // prompt is computed apart, then the answer is decoded where the memory is.
 func (r *Relay) generate(ctx context.Context, v *visit) error {
-	s, err := r.nextSeat(ctx, v)
+	s, err := r.nextReservation(ctx, v)
 	if err != nil {
 		return err
 	}
-	v.seated = time.Now()
+	v.reserved = time.Now()
 	var h Handle
 	if v.last == "" {
 		h = r.prefill(ctx, v)
@@ -103,14 +103,14 @@
 	start := time.Now()
 	t := r.tryAt(v, s.endpoint)
 	t.Source, t.Hold = h, s.hold
-	r.book.seated(v.pool.Name, float64(s.tokens)/float64(v.pool.Engine.MemoryTokens), v.output())
+	r.tracker.reserved(v.pool.Name, float64(s.tokens)/float64(v.pool.Engine.MemoryTokens), v.output())
 	latency, err := r.send(ctx, v, t, start)
 	if err == nil {
-		r.book.decoded(v.pool.Name, v.output(), time.Since(start))
+		r.tracker.decoded(v.pool.Name, v.output(), time.Since(start))
 	}
-	r.book.end(s.endpoint, verdictOf(ctx, err), latency, float64(s.tokens))
+	r.tracker.end(s.endpoint, verdictOf(ctx, err), latency, float64(s.tokens))
 	if err != nil {
-		r.say(v, err).WithFields(logrus.Fields{"Endpoint": t.Endpoint.Name, "Prefill": h.At.Name, "Hold": s.hold}).Info("try failed")
+		r.logger(v, err).WithFields(logrus.Fields{"Endpoint": t.Endpoint.Name, "Prefill": h.At.Name, "Hold": s.hold}).Info("try failed")
 		go r.giveBack(t)
 	}
 	return err
@@ -132,26 +132,26 @@
 	}
 }
 
-// nextSeat returns memory that was prepared for this try, or waits for some.
-func (r *Relay) nextSeat(ctx context.Context, v *visit) (seat, error) {
+// nextReservation returns memory that was prepared for this try, or waits for some.
+func (r *Relay) nextReservation(ctx context.Context, v *visit) (reservation, error) {
 	if s := v.next; s != nil {
 		v.next = nil
 		return *s, nil
 	}
-	return r.seat(ctx, v, v.heard())
+	return r.reserve(ctx, v, v.heard())
 }
 
-// seat waits for memory at one of the engines. heard is when the caller was last
+// reserve waits for memory at one of the engines. heard is when the caller was last
 // sent something.
-func (r *Relay) seat(ctx context.Context, v *visit, heard time.Time) (seat, error) {
-	l := r.lineOf(v.pool.Name)
+func (r *Relay) reserve(ctx context.Context, v *visit, heard time.Time) (reservation, error) {
+	l := r.queueOf(v.pool.Name)
 	start, target := time.Now(), heard.Add(time.Duration(v.route.Target)-decodeStart)
 	leaves := v.abandoned(heard).Add(-decodeStart)
 	ctx, cancel := context.WithDeadline(ctx, leaves)
 	defer cancel()
 	for {
-		if !l.enter(ctx, newPlace(target, leaves, v.route.Priority)) {
-			return seat{}, &WaitError{Waited: time.Since(start)}
+		if !l.enter(ctx, newWaiter(target, leaves, v.route.Priority)) {
+			return reservation{}, &WaitError{Waited: time.Since(start)}
 		}
 		s, err := r.ask(ctx, v)
 		var taken *FullError
@@ -188,26 +188,26 @@
 }
 
 // ask asks a few engines for memory, the least loaded first.
-func (r *Relay) ask(ctx context.Context, v *visit) (seat, error) {
-	s := seat{tokens: v.memory()}
+func (r *Relay) ask(ctx context.Context, v *visit) (reservation, error) {
+	s := reservation{tokens: v.memory()}
 	asked := map[string]bool{}
 	for name := range v.tried {
 		asked[name] = true
 	}
 	var last error
 	for range holdTries {
-		e := r.book.pick(r.fleet.Endpoints(v.pool.Name), choice{
+		e := r.tracker.pick(r.fleet.Endpoints(v.pool.Name), choice{
 			now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_DECODE, tried: asked, weight: float64(s.tokens),
 		})
 		if e == nil {
-			return seat{}, &PlaceError{Pool: v.pool.Name}
+			return reservation{}, &NoEndpointError{Pool: v.pool.Name}
 		}
 		hold, err := r.hold(ctx, v, e, s.tokens)
 		if err == nil {
 			s.endpoint, s.hold = e, hold
 			return s, nil
 		}
-		r.book.end(e, verdictOf(ctx, err), 0, float64(s.tokens))
+		r.tracker.end(e, verdictOf(ctx, err), 0, float64(s.tokens))
 		asked[e.GetName()], last = true, err
 		if ctx.Err() != nil {
 			break
@@ -219,7 +219,7 @@
 		// have room in a moment.
 		last = &FullError{}
 	}
-	return seat{}, last
+	return reservation{}, last
 }
 
 func (r *Relay) hold(ctx context.Context, v *visit, e *controlv1.Endpoint, tokens int) (string, error) {
@@ -232,7 +232,7 @@
 // does, the engine that decodes computes it too.
 func (r *Relay) prefill(ctx context.Context, v *visit) Handle {
 	weight := float64(v.call.Prompt.Tokens)
-	e := r.book.pick(r.fleet.Endpoints(v.pool.Name), choice{
+	e := r.tracker.pick(r.fleet.Endpoints(v.pool.Name), choice{
 		now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_PREFILL, weight: weight,
 	})
 	if e == nil {
@@ -240,16 +240,16 @@
 	}
 	start := time.Now()
 	h, err := r.engines.Prefill(ctx, v.call, r.tryAt(v, e))
-	r.book.end(e, verdictOf(ctx, err), time.Since(start), weight)
+	r.tracker.end(e, verdictOf(ctx, err), time.Since(start), weight)
 	if err != nil {
-		r.say(v, err).WithField("Endpoint", e.GetName()).Info("prefill failed")
+		r.logger(v, err).WithField("Endpoint", e.GetName()).Info("prefill failed")
 		return Handle{}
 	}
-	r.book.prefilled(v.pool.Name, v.call.Prompt.Tokens, time.Since(start))
+	r.tracker.prefilled(v.pool.Name, v.call.Prompt.Tokens, time.Since(start))
 	return h
 }
 
-func (r *Relay) lineOf(pool string) *line {
-	l, _ := r.lines.LoadOrStore(pool, &line{})
-	return l.(*line)
+func (r *Relay) queueOf(pool string) *queue {
+	l, _ := r.queues.LoadOrStore(pool, &queue{})
+	return l.(*queue)
 }
--- a/relay/line.go
+++ b/relay/queue.go
@@ -20,14 +20,14 @@
 	knownGrants = 10
 )
 
-// line is the requests that wait for the memory of a pool's engines. Those that
+// queue is the requests that wait for the memory of a pool's engines. Those that
 // can still meet their target go first, by arrival, and so do the late ones
 // after them. Who would not have a turn before leaving is refused at once. The
 // zero value is empty. It is safe for concurrent use.
-type line struct {
+type queue struct {
 	mu sync.Mutex
 	// waiting is in order of arrival.
-	waiting []*place
+	waiting []*waiter
 	// asking is the number of requests that have their turn.
 	asking int
 	// turns counts fresh requests taken since the last late one.
@@ -38,8 +38,8 @@
 	grants  int
 }
 
-// place is one waiting request.
-type place struct {
+// waiter is one waiting request.
+type waiter struct {
 	// target is until when a turn lets the request meet its target, and leaves
 	// until when a turn is of any use.
 	target time.Time
@@ -52,16 +52,16 @@
 	refused chan struct{}
 }
 
-func newPlace(target, leaves time.Time, priority int) *place {
-	return &place{target: target, leaves: leaves, priority: priority, turn: make(chan struct{}), refused: make(chan struct{})}
+func newWaiter(target, leaves time.Time, priority int) *waiter {
+	return &waiter{target: target, leaves: leaves, priority: priority, turn: make(chan struct{}), refused: make(chan struct{})}
 }
 
 // enter waits for a turn. leave must be called where it reports true.
-func (l *line) enter(ctx context.Context, p *place) bool {
-	l.mu.Lock()
-	l.waiting = append(l.waiting, p)
-	l.advance(time.Now())
-	l.mu.Unlock()
+func (q *queue) enter(ctx context.Context, p *waiter) bool {
+	q.mu.Lock()
+	q.waiting = append(q.waiting, p)
+	q.advance(time.Now())
+	q.mu.Unlock()
 	select {
 	case <-p.turn:
 		return true
@@ -69,56 +69,56 @@
 		return false
 	case <-ctx.Done():
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	select {
 	case <-p.turn:
-		l.asking--
-		l.advance(time.Now())
+		q.asking--
+		q.advance(time.Now())
 	default:
-		l.remove(p)
+		q.remove(p)
 	}
 	return false
 }
 
 // leave ends a turn. granted says whether it brought memory.
-func (l *line) leave(granted bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (q *queue) leave(granted bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	now := time.Now()
 	if granted {
-		l.rate = l.rateAt(now) + 1/rateMemory.Seconds()
-		l.counted = now
-		l.grants++
+		q.rate = q.rateAt(now) + 1/rateMemory.Seconds()
+		q.counted = now
+		q.grants++
 	}
-	l.asking--
-	l.advance(now)
+	q.asking--
+	q.advance(now)
 }
 
 // rateAt is the rate of grants at a time.
-func (l *line) rateAt(now time.Time) float64 {
-	return l.rate * math.Exp(-float64(now.Sub(l.counted))/float64(rateMemory))
+func (q *queue) rateAt(now time.Time) float64 {
+	return q.rate * math.Exp(-float64(now.Sub(q.counted))/float64(rateMemory))
 }
 
-func (l *line) advance(now time.Time) {
-	for l.asking < askers && len(l.waiting) > 0 {
-		p := l.next(now)
-		l.remove(p)
-		l.asking++
+func (q *queue) advance(now time.Time) {
+	for q.asking < askers && len(q.waiting) > 0 {
+		p := q.next(now)
+		q.remove(p)
+		q.asking++
 		close(p.turn)
 	}
-	l.refuse(now)
+	q.refuse(now)
 }
 
 // refuse ends the wait of requests that will have left before their turn, at the
 // present rate of grants.
-func (l *line) refuse(now time.Time) {
-	rate := l.rateAt(now)
-	if l.grants < knownGrants || rate <= 0 {
+func (q *queue) refuse(now time.Time) {
+	rate := q.rateAt(now)
+	if q.grants < knownGrants || rate <= 0 {
 		return
 	}
 	fresh, late := 0, 0
-	for _, p := range l.waiting {
+	for _, p := range q.waiting {
 		if now.Before(p.target) {
 			fresh++
 		}
@@ -127,8 +127,8 @@
 	if fresh > 0 {
 		lateRate = rate / (lateTurn + 1)
 	}
-	kept := l.waiting[:0]
-	for _, p := range l.waiting {
+	kept := q.waiting[:0]
+	for _, p := range q.waiting {
 		if !now.Before(p.target) {
 			late++
 			if wait := time.Duration(float64(late) / lateRate * float64(time.Second)); now.Add(wait).After(p.leaves) {
@@ -139,13 +139,13 @@
 		}
 		kept = append(kept, p)
 	}
-	l.waiting = kept
+	q.waiting = kept
 }
 
 // next returns the request that goes next.
-func (l *line) next(now time.Time) *place {
-	var fresh, late *place
-	for _, p := range l.waiting {
+func (q *queue) next(now time.Time) *waiter {
+	var fresh, late *waiter
+	for _, p := range q.waiting {
 		switch {
 		case now.Before(p.target):
 			fresh = more(fresh, p)
@@ -153,26 +153,26 @@
 			late = more(late, p)
 		}
 	}
-	if fresh == nil || late != nil && l.turns >= lateTurn {
-		l.turns = 0
+	if fresh == nil || late != nil && q.turns >= lateTurn {
+		q.turns = 0
 		return late
 	}
-	l.turns++
+	q.turns++
 	return fresh
 }
 
 // more returns the more urgent of two requests, or the earlier one.
-func more(first, p *place) *place {
+func more(first, p *waiter) *waiter {
 	if first == nil || p.priority < first.priority {
 		return p
 	}
 	return first
 }
 
-func (l *line) remove(p *place) {
-	for i, q := range l.waiting {
-		if q == p {
-			l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
+func (q *queue) remove(p *waiter) {
+	for i, w := range q.waiting {
+		if w == p {
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
 			return
 		}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -55,18 +55,18 @@
 	sender  Sender
 	engines Engines
 	// domain is the failure domain of this process.
-	domain string
-	budget Budget
-	log    *logrus.Entry
-	book   book
+	domain  string
+	budget  Budget
+	log     *logrus.Entry
+	tracker tracker
 	// strikes knows the contents that crashed endpoints; struck are crashes to be
 	// counted.
 	strikes Strikes
 	struck  chan suspicion
 	// retries maps the name of a pool to its *retries.
 	retries sync.Map
-	// lines maps the name of a pool to its *line.
-	lines sync.Map
+	// lines maps the name of a pool to its *queue.
+	queues sync.Map
 	// draining is true once new streams are refused, which may last longer than
 	// the process.
 	draining atomic.Bool
@@ -104,7 +104,7 @@
 	at Endpoint
 	// next is memory for another try, and paid is true where the budget for it is
 	// taken.
-	next *seat
+	next *reservation
 	paid bool
 	// ran is true once an endpoint may have run the call.
 	ran bool
@@ -114,10 +114,10 @@
 	// id of the last event passed on.
 	begun bool
 	last  string
-	// seated and prefilled are when memory was promised and the prompt was
+	// reserved and prefilled are when memory was promised and the prompt was
 	// computed, first when the caller had the first event, and longest the longest
 	// time between two events.
-	seated    time.Time
+	reserved  time.Time
 	prefilled time.Time
 	first     time.Time
 	latest    time.Time
@@ -189,17 +189,17 @@
 		err := r.try(ctx, v)
 		if err == nil {
 			r.counts.answered(v)
-			r.sayLate(v)
+			r.logLate(v)
 			return
 		}
 		if errors.Is(ctx.Err(), context.Canceled) {
-			r.left(v, err)
+			r.callerLeft(v, err)
 			return
 		}
 		if crashed(err) {
 			r.strike(v)
 		}
-		if ctx.Err() != nil || r.condemned(v.call) || !r.again(v, err) {
+		if ctx.Err() != nil || r.condemned(v.call) || !r.mayRetry(v, err) {
 			r.giveUp(ctx, v, err)
 			return
 		}
@@ -207,8 +207,8 @@
 	}
 }
 
-// again reports whether a call is sent once more after a failed try.
-func (r *Relay) again(v *visit, err error) bool {
+// mayRetry reports whether a call is sent once more after a failed try.
+func (r *Relay) mayRetry(v *visit, err error) bool {
 	reason := reasonOf(err)
 	var unsent *transport.DialError
 	var gone *GoneError
@@ -234,15 +234,15 @@
 
 // giveUp ends a call with its final answer, at once.
 func (r *Relay) giveUp(ctx context.Context, v *visit, err error) {
-	r.stay(v)
+	r.cancelRetry(v)
 	switch {
 	case v.begun:
 		r.counts.Broken.Add(1)
-		r.say(v, err).Warn("stream broken off")
+		r.logger(v, err).Warn("stream broken off")
 		v.answer.Abort()
 	case v.failure != nil:
-		r.say(v, err).WithField("Status", v.failure.Status).Info("failure of the endpoint passed on")
-		r.sayLost(v, v.answer.Whole(v.failure, v.body))
+		r.logger(v, err).WithField("Status", v.failure.Status).Info("failure of the endpoint passed on")
+		r.logUnwritten(v, v.answer.Whole(v.failure, v.body))
 	case v.ran && ctx.Err() != nil:
 		r.refuse(v, Refusal{Reason: TimedOut}, err)
 	case v.ran:
@@ -256,28 +256,28 @@
 
 func (r *Relay) refuse(v *visit, f Refusal, cause error) {
 	r.counts.refused(f.Reason)
-	r.say(v, cause).WithFields(logrus.Fields{"Reason": string(f.Reason), "RetryAfter": f.RetryAfter.String()}).Warn("request refused")
-	r.sayLost(v, v.answer.Refuse(f))
+	r.logger(v, cause).WithFields(logrus.Fields{"Reason": string(f.Reason), "RetryAfter": f.RetryAfter.String()}).Warn("request refused")
+	r.logUnwritten(v, v.answer.Refuse(f))
 }
 
-// left notes a call whose caller has left.
-func (r *Relay) left(v *visit, err error) {
-	r.stay(v)
+// callerLeft notes a call whose caller has left.
+func (r *Relay) callerLeft(v *visit, err error) {
+	r.cancelRetry(v)
 	r.counts.Left.Add(1)
-	r.say(v, err).Info("caller has left")
+	r.logger(v, err).Info("caller has left")
 	v.answer.Abort()
 }
 
-// sayLate notes a stream that missed its targets, with the times that explain it.
-func (r *Relay) sayLate(v *visit) {
+// logLate notes a stream that missed its targets, with the times that explain it.
+func (r *Relay) logLate(v *visit) {
 	target, gap := time.Duration(v.route.Target), time.Duration(v.route.Gap)
 	took := v.first.Sub(v.call.Arrived)
 	if v.first.IsZero() || took <= target && (gap == 0 || v.longest <= gap) {
 		return
 	}
 	r.counts.Late.Add(1)
-	r.say(v, nil).WithFields(logrus.Fields{
-		"Seated": since(v.call.Arrived, v.seated), "Prefilled": since(v.call.Arrived, v.prefilled),
+	r.logger(v, nil).WithFields(logrus.Fields{
+		"Reserved": since(v.call.Arrived, v.reserved), "Prefilled": since(v.call.Arrived, v.prefilled),
 		"First": took.String(), "LongestGap": v.longest.String(),
 	}).Info("stream late")
 }
@@ -290,15 +290,15 @@
 	return to.Sub(from).String()
 }
 
-// sayLost notes an answer that could not be written.
-func (r *Relay) sayLost(v *visit, err error) {
+// logUnwritten notes an answer that could not be written.
+func (r *Relay) logUnwritten(v *visit, err error) {
 	if err != nil {
-		r.say(v, err).Info("answer not written")
+		r.logger(v, err).Info("answer not written")
 	}
 }
 
-// say returns a logger with the inputs of the decisions on a call.
-func (r *Relay) say(v *visit, err error) *logrus.Entry {
+// logger returns a logger with the inputs of the decisions on a call.
+func (r *Relay) logger(v *visit, err error) *logrus.Entry {
 	e := r.log.WithFields(logrus.Fields{
 		"Request": bounded(v.call.ID), "Route": v.route.Name, "Pool": v.pool.Name, "Document": v.number, "Sent": v.sent, "Unsent": v.unsent,
 		"Elapsed": time.Since(v.call.Arrived).String(), "LastEvent": bounded(v.last),
@@ -326,14 +326,14 @@
 		return r.generate(ctx, v)
 	}
 	c := choice{now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_DECODE, tried: v.tried, weight: 1}
-	e := r.book.pick(r.fleet.Endpoints(v.pool.Name), c)
+	e := r.tracker.pick(r.fleet.Endpoints(v.pool.Name), c)
 	if e == nil {
-		return &PlaceError{Pool: v.pool.Name}
+		return &NoEndpointError{Pool: v.pool.Name}
 	}
 	latency, err := r.send(ctx, v, r.tryAt(v, e), time.Now())
-	r.book.end(e, verdictOf(ctx, err), latency, 1)
+	r.tracker.end(e, verdictOf(ctx, err), latency, 1)
 	if err != nil {
-		r.say(v, err).WithField("Endpoint", e.GetName()).Info("try failed")
+		r.logger(v, err).WithField("Endpoint", e.GetName()).Info("try failed")
 	}
 	return err
 }
@@ -346,23 +346,23 @@
 func (r *Relay) send(ctx context.Context, v *visit, t Try, start time.Time) (time.Duration, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	w := newWatch(ctx, cancel, r.patience(v), func(ctx context.Context, silent time.Duration) bool { return r.elsewhere(ctx, v, silent) })
+	w := newWatch(ctx, cancel, r.patience(v), func(ctx context.Context, silent time.Duration) bool { return r.prepareRetry(ctx, v, silent) })
 	latency, err := r.exchange(ctx, v, t, w, start)
 	w.stop()
 	if err = because(ctx, err); err == nil || w.silent == nil {
-		r.stay(v)
+		r.cancelRetry(v)
 	}
 	return latency, err
 }
 
-// elsewhere prepares another try of a call whose endpoint is silent: the budget
+// prepareRetry prepares another try of a call whose endpoint is silent: the budget
 // and, at model engines, the memory for it.
-func (r *Relay) elsewhere(ctx context.Context, v *visit, silent time.Duration) bool {
+func (r *Relay) prepareRetry(ctx context.Context, v *visit, silent time.Duration) bool {
 	if !r.budgetOf(v.pool.Name).take(r.budget, r.fleet.Entries()) {
 		return false
 	}
 	if v.generates() {
-		s, err := r.seat(ctx, v, time.Now().Add(-silent))
+		s, err := r.reserve(ctx, v, time.Now().Add(-silent))
 		if err != nil {
 			return false
 		}
@@ -372,10 +372,10 @@
 	return true
 }
 
-// stay gives back what was prepared for a try that is not needed.
-func (r *Relay) stay(v *visit) {
+// cancelRetry gives back what was prepared for a try that is not needed.
+func (r *Relay) cancelRetry(v *visit) {
 	if s := v.next; s != nil {
-		r.book.end(s.endpoint, unsaid, 0, float64(s.tokens))
+		r.tracker.end(s.endpoint, unsaid, 0, float64(s.tokens))
 		go r.giveBack(Try{Endpoint: endpointOf(s.endpoint), Hold: s.hold})
 	}
 	v.next, v.paid = nil, false
@@ -432,7 +432,7 @@
 	}
 	latency := time.Since(start)
 	r.counts.latency(v, time.Since(v.call.Arrived))
-	r.sayLost(v, v.answer.Whole(reply, body))
+	r.logUnwritten(v, v.answer.Whole(reply, body))
 	return latency, nil
 }
 
--- a/relay/strike.go
+++ b/relay/strike.go
@@ -64,7 +64,7 @@
 	select {
 	case r.struck <- suspicion{digest: v.call.digest(), endpoint: v.at}:
 	default:
-		r.say(v, nil).Warn("crash not counted, too many wait")
+		r.logger(v, nil).Warn("crash not counted, too many wait")
 	}
 }
 
--- a/relay/book.go
+++ b/relay/tracker.go
@@ -42,12 +42,12 @@
 	forgetAfter = time.Minute
 )
 
-// book is what an entry knows of endpoints from its own calls. The zero value
+// tracker is what an entry knows of endpoints from its own calls. The zero value
 // is empty. It is safe for concurrent use.
-type book struct {
+type tracker struct {
 	mu sync.Mutex
-	// pages is keyed by the endpoint's name and lifetime.
-	pages map[key]*page
+	// endpoints is keyed by the endpoint's name and lifetime.
+	endpoints map[key]*stats
 	// latency is the running mean over all endpoints of a pool.
 	latency map[string]time.Duration
 	// uses is keyed by pool.
@@ -60,8 +60,8 @@
 	lifetime int64
 }
 
-// page is what is known of one endpoint.
-type page struct {
+// stats is what is known of one endpoint.
+type stats struct {
 	// load is the sum of the weights of the calls in flight, and calls their
 	// number.
 	load  float64
@@ -82,14 +82,14 @@
 	return key{name: e.GetName(), lifetime: e.GetLifetime()}
 }
 
-func (b *book) page(k key) *page {
-	if b.pages == nil {
-		b.pages, b.latency = map[key]*page{}, map[string]time.Duration{}
+func (t *tracker) stats(k key) *stats {
+	if t.endpoints == nil {
+		t.endpoints, t.latency = map[key]*stats{}, map[string]time.Duration{}
 	}
-	p := b.pages[k]
+	p := t.endpoints[k]
 	if p == nil {
-		p = &page{seen: time.Now()}
-		b.pages[k] = p
+		p = &stats{seen: time.Now()}
+		t.endpoints[k] = p
 	}
 	return p
 }
@@ -109,10 +109,10 @@
 // pick returns the endpoint with the least cost and begins a call there, or
 // nil. Endpoints that rest are used when there is no other, and so are those
 // that were tried before.
-func (b *book) pick(all []*controlv1.Endpoint, c choice) *controlv1.Endpoint {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.sweep(c.now)
+func (t *tracker) pick(all []*controlv1.Endpoint, c choice) *controlv1.Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(c.now)
 	var best *controlv1.Endpoint
 	least := math.Inf(1)
 	start, n := 0, len(all)
@@ -124,12 +124,12 @@
 		if _, err := netip.ParseAddrPort(e.GetAddress()); err != nil || !serves(e, c.role) {
 			continue
 		}
-		if cost := b.cost(e, c); cost < least {
+		if cost := t.cost(e, c); cost < least {
 			best, least = e, cost
 		}
 	}
 	if best != nil {
-		p := b.page(keyOf(best))
+		p := t.stats(keyOf(best))
 		p.load, p.calls = p.load+c.weight, p.calls+1
 	}
 	return best
@@ -147,13 +147,13 @@
 // againCost puts endpoints that rest or were tried behind all others.
 const againCost = 1e6
 
-func (b *book) cost(e *controlv1.Endpoint, c choice) float64 {
-	p := b.page(keyOf(e))
+func (t *tracker) cost(e *controlv1.Endpoint, c choice) float64 {
+	p := t.stats(keyOf(e))
 	cost := p.load/c.weight + 1
 	if e.GetFailureDomain() != c.domain {
 		cost += farCost
 	}
-	cost *= b.slowness(p, e.GetServes(), c.now) * (1 + failureCost*p.failing)
+	cost *= t.slowness(p, e.GetServes(), c.now) * (1 + failureCost*p.failing)
 	if e.GetState() == controlv1.EndpointState_ENDPOINT_STATE_LOST {
 		cost *= lostCost
 	}
@@ -169,8 +169,8 @@
 }
 
 // slowness is an endpoint's latency in that of its pool; it fades with time.
-func (b *book) slowness(p *page, pool string, now time.Time) float64 {
-	mean := b.latency[pool]
+func (t *tracker) slowness(p *stats, pool string, now time.Time) float64 {
+	mean := t.latency[pool]
 	if p.latency == 0 || mean == 0 {
 		return 1
 	}
@@ -179,14 +179,14 @@
 }
 
 // sweep forgets endpoints that are not used any more.
-func (b *book) sweep(now time.Time) {
-	if now.Sub(b.swept) < forgetAfter {
+func (t *tracker) sweep(now time.Time) {
+	if now.Sub(t.swept) < forgetAfter {
 		return
 	}
-	b.swept = now
-	for k, p := range b.pages {
+	t.swept = now
+	for k, p := range t.endpoints {
 		if p.calls == 0 && now.Sub(p.seen) > forgetAfter {
-			delete(b.pages, k)
+			delete(t.endpoints, k)
 		}
 	}
 }
@@ -209,10 +209,10 @@
 
 // end ends a call at an endpoint. latency is up to the answer, or up to the
 // first event of a stream; zero where there was none. weight is that of pick.
-func (b *book) end(e *controlv1.Endpoint, v verdict, latency time.Duration, weight float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now, p := time.Now(), b.page(keyOf(e))
+func (t *tracker) end(e *controlv1.Endpoint, v verdict, latency time.Duration, weight float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now, p := time.Now(), t.stats(keyOf(e))
 	p.load, p.calls = p.load-weight, p.calls-1
 	if v == unsaid {
 		return
@@ -235,7 +235,7 @@
 	p.failing += failureWeight * (bad - p.failing)
 	if v == passed && latency > 0 {
 		p.latency = mean(p.latency, latency)
-		b.latency[e.GetServes()] = mean(b.latency[e.GetServes()], latency)
+		t.latency[e.GetServes()] = mean(t.latency[e.GetServes()], latency)
 	}
 }
 
--- a/relay/use.go
+++ b/relay/use.go
@@ -30,21 +30,21 @@
 	since   time.Time
 }
 
-func (b *book) use(pool string) *use {
-	if b.uses == nil {
-		b.uses = map[string]*use{}
+func (t *tracker) use(pool string) *use {
+	if t.uses == nil {
+		t.uses = map[string]*use{}
 	}
-	if b.uses[pool] == nil {
-		b.uses[pool] = &use{since: time.Now(), perOutput: usualPerOutput}
+	if t.uses[pool] == nil {
+		t.uses[pool] = &use{since: time.Now(), perOutput: usualPerOutput}
 	}
-	return b.uses[pool]
+	return t.uses[pool]
 }
 
 // prefilled notes a prefill.
-func (b *book) prefilled(pool string, tokens int, took time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	u := b.use(pool)
+func (t *tracker) prefilled(pool string, tokens int, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.use(pool)
 	each := took / time.Duration(max(tokens, 1))
 	switch {
 	case u.perToken == 0:
@@ -57,31 +57,31 @@
 	u.prefill += u.perToken.Seconds() * float64(tokens)
 }
 
-// seated notes that a request takes a part of an engine until it has made its
+// reserved notes that a request takes a part of an engine until it has made its
 // output. It counts from the start, as prefills do.
-func (b *book) seated(pool string, part float64, output int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	u := b.use(pool)
+func (t *tracker) reserved(pool string, part float64, output int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.use(pool)
 	u.decode += part * u.perOutput.Seconds() * float64(output)
 }
 
 // decoded notes a request that made its output.
-func (b *book) decoded(pool string, output int, took time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	u := b.use(pool)
+func (t *tracker) decoded(pool string, output int, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.use(pool)
 	u.perOutput += time.Duration(outputWeight * float64(took/time.Duration(max(output, 1))-u.perOutput))
 }
 
 // Uses returns what this entry's calls took of each pool of engines since the
 // last call, in engines kept busy.
 func (r *Relay) Uses() []*controlv1.PoolUse {
-	r.book.mu.Lock()
-	defer r.book.mu.Unlock()
+	r.tracker.mu.Lock()
+	defer r.tracker.mu.Unlock()
 	var out []*controlv1.PoolUse
 	now := time.Now()
-	for pool, u := range r.book.uses {
+	for pool, u := range r.tracker.uses {
 		if passed := now.Sub(u.since).Seconds(); passed > 0 {
 			out = append(out, &controlv1.PoolUse{Pool: pool, Prefill: u.prefill / passed, Decode: u.decode / passed})
 		}
