--- a/clock/clock.go
+++ b/clock/clock.go
@@ -1,5 +1,5 @@
-// Package clock reads the clock that counts the time in which a machine was
-// suspended, which the monotonic clock of the runtime does not.
+// Package clock waits, and reads the clock that counts the time in which a machine
+// was suspended, which the monotonic clock of the runtime does not.
 package clock
 
 import (
--- a/cmd/agent/command.go
+++ b/cmd/agent/command.go
@@ -50,6 +50,7 @@
 // run starts the duties of an agent and waits for its planned stop.
 func run(s settings.Agent) error {
 	log := logs.New("agent", s.Name)
+	defer logs.Flush(log)
 	tracer, err := traces.Open(s.TraceFile, "agent", s.Name)
 	if err != nil {
 		return err
--- a/control/gateway.go
+++ b/control/gateway.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"ebonyreel/clock"
 	"ebonyreel/controls"
 	"ebonyreel/document"
 	controlv1 "ebonyreel/proto/control/v1"
@@ -98,12 +99,8 @@
 				return err
 			}
 		}
-		pause := time.NewTimer(electionPause)
-		select {
-		case <-ctx.Done():
-			pause.Stop()
+		if !clock.Pause(ctx, electionPause) {
 			return err
-		case <-pause.C:
 		}
 	}
 }
--- a/controls/client.go
+++ b/controls/client.go
@@ -15,6 +15,7 @@
 
 	"connectrpc.com/connect"
 
+	"ebonyreel/clock"
 	controlv1 "ebonyreel/proto/control/v1"
 	"ebonyreel/proto/control/v1/controlv1connect"
 	"ebonyreel/transport"
@@ -147,7 +148,7 @@
 			last = err
 			at = c.next(at, err)
 		}
-		if time.Since(start) > patience || !pause(ctx, roundPause) {
+		if time.Since(start) > patience || !clock.Pause(ctx, roundPause) {
 			break
 		}
 	}
@@ -191,17 +192,6 @@
 	return false
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Reason returns the typed refusal that an error of control carries, or nil.
 func Reason(err error) *controlv1.Refusal {
 	var ce *connect.Error
--- a/controls/view.go
+++ b/controls/view.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
 
+	"ebonyreel/clock"
 	"ebonyreel/document"
 	controlv1 "ebonyreel/proto/control/v1"
 	"ebonyreel/proto/control/v1/controlv1connect"
@@ -99,7 +100,7 @@
 	for ctx.Err() == nil {
 		if err := v.list(ctx); err != nil {
 			v.log.WithError(err).Warn("list failed")
-			pause(ctx, rand.N(relistSpread))
+			clock.Pause(ctx, rand.N(relistSpread))
 			continue
 		}
 		v.follow(ctx)
@@ -113,11 +114,11 @@
 		var part *document.PartError
 		if errors.As(err, &part) || Reason(err).GetCode() == controlv1.Refusal_CODE_COMPACTED {
 			v.log.WithError(err).Warn("list again")
-			pause(ctx, rand.N(relistSpread))
+			clock.Pause(ctx, rand.N(relistSpread))
 			return
 		}
 		v.at++
-		pause(ctx, rand.N(roundPause))
+		clock.Pause(ctx, rand.N(roundPause))
 	}
 }
 
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"ebonyreel/clock"
 	entryv1 "ebonyreel/proto/entry/v1"
 )
 
@@ -32,23 +33,14 @@
 func (s *Server) Stop(ctx context.Context) {
 	s.unready.Store(true)
 	s.log.Info("unready")
-	sleep(ctx, balancerNotice)
+	clock.Pause(ctx, balancerNotice)
 	s.closed.Store(true)
 	for s.working.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
+		clock.Pause(ctx, drainPoll)
 	}
 	s.log.Info("drained")
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Operator answers operators' tools.
 type Operator struct {
 	server *Server
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"ebonyreel/clock"
 	"ebonyreel/controls"
 )
 
@@ -42,5 +43,5 @@
 func (g *Gate) Stop(ctx context.Context) {
 	g.leaving.Store(true)
 	g.log.Info("unready")
-	sleep(ctx, twoMisses)
+	clock.Pause(ctx, twoMisses)
 }
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -8,6 +8,7 @@
 	"ebonyreel/agents"
 	"ebonyreel/attempt"
 	"ebonyreel/callers"
+	"ebonyreel/clock"
 	"ebonyreel/decision"
 	agentv1 "ebonyreel/proto/agent/v1"
 	controlv1 "ebonyreel/proto/control/v1"
@@ -62,7 +63,7 @@
 			return
 		}
 		s.counts.Retried.Add(1)
-		pause(ctx, d.Pause)
+		clock.Pause(ctx, d.Pause)
 	}
 }
 
@@ -71,16 +72,6 @@
 	return d == 0 || g.deadline.IsZero() || time.Now().Add(d).Before(g.deadline)
 }
 
-// pause waits for a time or the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // giveUp ends a generation with its final answer, at once.
 func (s *Server) giveUp(g *generation, d attempt.Decision, err error) {
 	r := &callers.RefusalError{Code: callers.NotRun, Message: err.Error(), RetryAfter: d.RetryAfter}
--- a/relay/burst_test.go
+++ b/relay/burst_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"ebonyreel/clock"
 	controlv1 "ebonyreel/proto/control/v1"
 )
 
@@ -54,7 +55,7 @@
 	e.mu.Lock()
 	e.prefills++
 	e.mu.Unlock()
-	pause(ctx, promptTime)
+	clock.Pause(ctx, promptTime)
 	return Handle{At: t.Endpoint, ID: "handle"}, ctx.Err()
 }
 
@@ -62,7 +63,7 @@
 	out, in := io.Pipe()
 	go func() {
 		_, _ = io.Copy(in, streamOf([]string{"1"}))
-		pause(ctx, callTime)
+		clock.Pause(ctx, callTime)
 		_, _ = io.Copy(in, streamOf([]string{"2"}))
 		_ = in.Close()
 		e.mu.Lock()
--- a/relay/call.go
+++ b/relay/call.go
@@ -65,8 +65,6 @@
 // Try is one dispatch of a call.
 type Try struct {
 	Endpoint Endpoint
-	// Number starts at one.
-	Number int
 	// Deadline is when the endpoint stops its work.
 	Deadline time.Time
 	// LastEvent is the event after which a stream goes on.
@@ -91,8 +89,6 @@
 	Elsewhere bool
 	// RetryAfter is when the endpoint asks to be called again.
 	RetryAfter time.Duration
-	// Length is that of the body, or -1 where it is not announced.
-	Length int64
 	// Body is closed by the receiver. Closing it early ends the work.
 	Body io.ReadCloser
 }
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"ebonyreel/clock"
 	controlv1 "ebonyreel/proto/control/v1"
 )
 
@@ -156,7 +157,7 @@
 		s, err := r.ask(ctx, v)
 		var taken *FullError
 		if errors.As(err, &taken) {
-			pause(ctx, turnPause)
+			clock.Pause(ctx, turnPause)
 		}
 		l.leave(err == nil)
 		if !errors.As(err, &taken) {
@@ -178,15 +179,6 @@
 	return heard.Add(max(leastPatience, abandonTargets*time.Duration(v.route.Target), abandonGaps*time.Duration(v.route.Gap)))
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // ask asks a few engines for memory, the least loaded first.
 func (r *Relay) ask(ctx context.Context, v *visit) (reservation, error) {
 	s := reservation{tokens: v.memory()}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -65,7 +65,7 @@
 	struck  chan suspicion
 	// retries maps the name of a pool to its *retries.
 	retries sync.Map
-	// lines maps the name of a pool to its *queue.
+	// queues maps the name of a pool to its *queue.
 	queues sync.Map
 	// draining is true once new streams are refused, which may last longer than
 	// the process.
@@ -339,7 +339,7 @@
 }
 
 func (r *Relay) tryAt(v *visit, e *controlv1.Endpoint) Try {
-	return Try{Endpoint: endpointOf(e), Number: v.sent + 1, Deadline: v.deadline, LastEvent: v.last}
+	return Try{Endpoint: endpointOf(e), Deadline: v.deadline, LastEvent: v.last}
 }
 
 // send makes one try and returns the time up to the answer or its first event.
