Log the shared parts of prompts, and who had events when an engine crashed

Change: the record of a request has the IDs of the parts of its prompt that other prompts may share (PromptParts), and a counted crash names the request, these parts, and whether the endpoint had sent events of the answer. Lists and names are bounded. No logic is changed.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -6,6 +6,8 @@
 import (
 	"sync"
 	"time"
+
+	"ebonyreel/logs"
 )
 
 // Outcomes of requests that were not refused. The outcome of a refused request is
@@ -48,6 +50,9 @@
 	PromptTokens   int `json:",omitempty"`
 	MaxOutput      int `json:",omitempty"`
 	ExpectedOutput int `json:",omitempty"`
+	// PromptParts are the IDs of the parts of the prompt that other prompts may
+	// share, truncated.
+	PromptParts []string `json:",omitempty"`
 	// Choices and Failures are in chronological order, at most maxSteps each.
 	Choices  []Choice  `json:",omitempty"`
 	Failures []Failure `json:",omitempty"`
@@ -143,6 +148,11 @@
 	}
 }
 
+// SetPromptParts sets the IDs of the shared parts of the prompt.
+func (r *Request) SetPromptParts(ids []string) {
+	r.Update(func(d *Record) { d.PromptParts = logs.TruncateList(ids) })
+}
+
 // AddChoice adds a placement decision.
 func (r *Request) AddChoice(c Choice) {
 	r.mu.Lock()
--- a/decision/logline.go
+++ b/decision/logline.go
@@ -64,6 +64,9 @@
 	if r.Late {
 		out["Late"] = true
 	}
+	if len(r.PromptParts) > 0 {
+		out["PromptParts"] = r.PromptParts
+	}
 	if len(r.Choices) > 0 {
 		out["Choices"] = r.Choices
 	}
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -23,6 +23,8 @@
 	// maxNameBytes is the maximum length of an ID or a name of external origin
 	// in a line.
 	maxNameBytes = 64
+	// maxListNames is the maximum length of a list of such names.
+	maxListNames = 8
 	// flushTimeout limits each wait of Flush: for room in the queue, and for the
 	// queued lines to be written.
 	flushTimeout = 200 * time.Millisecond
@@ -48,6 +50,15 @@
 	return s[:min(len(s), maxNameBytes)]
 }
 
+// TruncateList returns a list from outside for a log line: its first names, truncated.
+func TruncateList(names []string) []string {
+	out := make([]string, 0, min(len(names), maxListNames))
+	for _, n := range names[:min(len(names), maxListNames)] {
+		out = append(out, Truncate(n))
+	}
+	return out
+}
+
 // standardLogWriter receives what libraries write to the standard logger.
 type standardLogWriter struct {
 	log *logrus.Entry
--- a/relay/call.go
+++ b/relay/call.go
@@ -54,6 +54,16 @@
 	Parts []Part
 }
 
+// sharedParts returns the IDs of the parts that other prompts may share: all but the
+// last, which belongs to the request or its session.
+func (p Prompt) sharedParts() []string {
+	var out []string
+	for i := range len(p.Parts) - 1 {
+		out = append(out, p.Parts[i].ID)
+	}
+	return out
+}
+
 // Part is one part of a prompt. Tokens is its length.
 type Part struct {
 	ID     string
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -68,6 +68,7 @@
 			r.workload.Decoded(cs.pool.Name, cs.eventTokens(), now.Sub(previous))
 		}
 		previous = now
+		cs.attemptEvents++
 		if err := r.forwardEvent(cs, reply, event); err != nil {
 			return latency, err
 		}
--- a/relay/record.go
+++ b/relay/record.go
@@ -15,6 +15,9 @@
 		d.Route, d.Serves, d.DocumentNumber = cs.route.Name, cs.pool.Name, cs.documentNumber
 		d.PromptTokens, d.MaxOutput, d.ExpectedOutput = p.Tokens, p.MaxOutput, p.ExpectedOutput
 	})
+	if shared := cs.call.Prompt.sharedParts(); len(shared) > 0 {
+		cs.record.SetPromptParts(shared)
+	}
 }
 
 // roleNames are the names of roles in decision records.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -153,6 +153,8 @@
 	started    bool
 	lastEvent  string
 	eventCount int
+	// attemptEvents is the number of events received in the current or last attempt.
+	attemptEvents int
 	// firstSent is when the caller was sent the answer or its first event, lastSent
 	// when it was sent its last event, and longestGap the longest time between two
 	// events.
@@ -407,7 +409,7 @@
 func (r *Relay) send(ctx context.Context, cs *callState, t Attempt, start time.Time) (time.Duration, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	cs.attempted[t.Endpoint.Name], cs.endpoint = true, t.Endpoint
+	cs.attempted[t.Endpoint.Name], cs.endpoint, cs.attemptEvents = true, t.Endpoint, 0
 	monitor := newStallMonitor(ctx, cancel, r.stallTimeout(cs), cs.started, func(ctx context.Context, idle time.Duration, started bool) bool {
 		lastSent := time.Now().Add(-idle)
 		return r.prepareRetry(ctx, cs, memoryRequest{lastSent: lastSent, dueBy: lastSent.Add(time.Duration(cs.route.Target)), started: started})
--- a/relay/strike.go
+++ b/relay/strike.go
@@ -57,14 +57,21 @@
 
 // crashReport names a content that ran at an endpoint when its connection broke.
 type crashReport struct {
+	request  string
 	digest   string
 	endpoint Endpoint
+	// parts are the IDs of the parts of the prompt that other prompts may share, and
+	// began is true where the endpoint had sent events of the answer.
+	parts []string
+	began bool
 }
 
 // reportCrash queues a crash report for a call's content without blocking.
 func (r *Relay) reportCrash(cs *callState) {
 	select {
-	case r.crashReports <- crashReport{digest: cs.call.digest(), endpoint: cs.endpoint}:
+	case r.crashReports <- crashReport{
+		request: cs.call.ID, digest: cs.call.digest(), endpoint: cs.endpoint, parts: cs.call.Prompt.sharedParts(), began: cs.attemptEvents > 0,
+	}:
 	default:
 		r.logger(cs, nil).Warn("crash not counted, too many reports are waiting")
 	}
@@ -89,5 +96,7 @@
 	ctx, cancel := context.WithTimeout(ctx, strikeTimeout)
 	defer cancel()
 	err := r.strikes.AddStrike(ctx, c.digest)
-	r.log.WithError(err).WithFields(logrus.Fields{"Content": logs.Truncate(c.digest), "Endpoint": c.endpoint.Name}).Warn("crash counted against a content")
+	r.log.WithError(err).WithFields(logrus.Fields{
+		"Request": logs.Truncate(c.request), "Content": logs.Truncate(c.digest), "Endpoint": c.endpoint.Name, "Began": c.began, "PromptParts": logs.TruncateList(c.parts),
+	}).Warn("crash counted against a content")
 }
