--- a/cmd/entry/platform.go
+++ b/cmd/entry/platform.go
@@ -17,6 +17,7 @@
 	budget := relay.RetryBudget{Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack, Window: time.Duration(s.RetryBudget.Window)}
 	client := platform.NewEndpointClient()
 	r := relay.New(p.view, client, client, controls.NewStrikes(p.client, p.view), s.FailureDomain, budget, p.resources.decisions, p.log)
+	client.SetObserver(r)
 	go r.RunStrikes(ctx)
 	allocations := controls.NewAllocations(p.client, member(s), p.log)
 	go allocations.RunReleases(ctx)
--- /dev/null
+++ b/relay/statement.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Statement is what an endpoint says of itself in an answer. The zero value says
+// nothing.
+type Statement struct {
+	// Limited is true where the endpoint names a RequestLimit, in requests a second that
+	// it takes from all entries together.
+	Limited      bool
+	RequestLimit float64
+	// Malformed is true where a part of the statement was not understood. The endpoint is
+	// then taken to have said nothing.
+	Malformed bool
+}
+
+// Heard takes what an endpoint says of itself in the answer to a request that was sent
+// at some time.
+func (r *Relay) Heard(e Endpoint, s Statement, sent time.Time) {
+	change := r.tracker.hear(e, s, sent)
+	switch change {
+	case limitNamed:
+		r.log.WithFields(logrus.Fields{"Endpoint": e.Name, "RequestsPerSecond": s.RequestLimit, "Entries": r.fleet.Entries()}).Info("endpoint limits requests")
+	case limitEnded:
+		r.log.WithField("Endpoint", e.Name).Info("endpoint limits requests no longer")
+	case statementMalformed:
+		r.log.WithField("Endpoint", e.Name).Warn("statement of an endpoint not understood")
+	case statementUnchanged:
+	}
+}
+
+// statementChange is what a statement changes.
+type statementChange int
+
+const (
+	statementUnchanged statementChange = iota
+	limitNamed
+	limitEnded
+	statementMalformed
+)
+
+// hear records a statement. A limit ends with an answer without one, unless its request
+// was sent before the limit was last named, as answers may overtake each other.
+func (t *tracker) hear(e Endpoint, s Statement, sent time.Time) statementChange {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	stats, now := t.statsOf(endpointKey{name: e.Name, lifetime: e.Lifetime}), time.Now()
+	switch {
+	case s.Malformed:
+		first := !stats.malformed
+		stats.malformed = true
+		if first {
+			return statementMalformed
+		}
+	case s.Limited:
+		changed := !stats.limited || stats.requestLimit != s.RequestLimit
+		stats.limited, stats.requestLimit, stats.limitHeard = true, s.RequestLimit, now
+		if changed {
+			return limitNamed
+		}
+	case stats.limited && sent.After(stats.limitHeard):
+		stats.limited = false
+		return limitEnded
+	}
+	return statementUnchanged
+}
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -75,6 +75,13 @@
 	// often it was unreachable since the last successful call.
 	backoffUntil  time.Time
 	failuresInRow int
+	// limited is true where the endpoint names a requestLimit, in requests a second of
+	// all entries, and limitHeard is when it last did. malformed is true once it has said
+	// something that was not understood.
+	limited      bool
+	requestLimit float64
+	limitHeard   time.Time
+	malformed    bool
 }
 
 func keyOf(e *controlv1.Endpoint) endpointKey {
