Keep to the limit on requests that an endpoint names

Cause: nobody who chooses endpoints read the limit. The class: what an endpoint says of itself in an answer goes no further than the caller.

Change: an entry that hears a limit takes an equal share of it, in turns of its own that begin at a random time, for calls, retries, reservations, prefills and their release. An endpoint without a turn is not chosen, by this entry or for it by control; where no endpoint of a pool has one, the caller is refused at once with the time of the next turn. An unused turn lapses after a second, so that idle entries do not all send at once. An answer without a limit ends it, if its request was sent after the limit was last named.

Why it works: the shares of all entries add up to the limit whatever each of them knows of the others' calls, also while control is gone.

--- a/relay/allocate.go
+++ b/relay/allocate.go
@@ -109,10 +109,12 @@
 	in := &controlv1.AcquireRequest{
 		Pool: cs.pool.Name, Run: run, Priority: int32(cs.route.Priority), Started: started, Prefill: cs.prefills == 0,
 	}
-	for name := range cs.attempted {
-		in.Excluded = append(in.Excluded, name)
-	}
 	for {
+		members := r.fleet.Endpoints(cs.pool.Name)
+		in.Excluded = r.tracker.limited(members, time.Now(), r.fleet.Entries)
+		for name := range cs.attempted {
+			in.Excluded = append(in.Excluded, name)
+		}
 		run.Age = durationpb.New(time.Since(start))
 		in.OnTimeLeft = durationpb.New(time.Until(onTimeUntil))
 		in.AbandonLeft = durationpb.New(time.Until(abandonAt))
@@ -144,7 +146,10 @@
 		return reservation{}, &NoEndpointError{Pool: cs.pool.Name}
 	}
 	e, tokens := members[i], int(res.GetTokens())
-	inFlight := r.tracker.begin(e, float64(tokens))
+	if len(r.tracker.limited(members[i:i+1], time.Now(), r.fleet.Entries)) > 0 {
+		return reservation{}, &NotRunError{}
+	}
+	inFlight := r.tracker.begin(e, float64(tokens), r.fleet.Entries)
 	id, err := r.reserveAt(ctx, cs, e, tokens)
 	if err != nil {
 		r.tracker.end(e, resultOf(ctx, err), 0, float64(tokens))
--- a/relay/errors.go
+++ b/relay/errors.go
@@ -104,9 +104,12 @@
 	var queueTimeout *QueueTimeoutError
 	var dialErr *transport.DialError
 	var crashingPart *CrashingPartError
+	var limited *LimitedError
 	switch {
 	case errors.As(err, &noEndpoint):
 		return NoEndpoint
+	case errors.As(err, &limited):
+		return Busy
 	case errors.As(err, &crashingPart):
 		return Crashing
 	case errors.As(err, &notRun), errors.As(err, &queueTimeout):
@@ -122,14 +125,19 @@
 // spread over their time, as the load that filled them lasts for seconds. random is
 // drawn from 0 to 1.
 func retryAfter(err error, timeLeft time.Duration, random float64) time.Duration {
+	spread := time.Duration((busyReturnEarliest + random*(busyReturnLatest-busyReturnEarliest)) * float64(timeLeft))
+	queueSpread := queueRetryAfter + time.Duration(random*float64(queueRetryJitter))
 	var notRun *NotRunError
 	if errors.As(err, &notRun) {
-		spread := busyReturnEarliest + random*(busyReturnLatest-busyReturnEarliest)
-		return max(notRun.RetryAfter, busyRetryAfter, time.Duration(spread*float64(timeLeft)))
+		return max(notRun.RetryAfter, busyRetryAfter, spread)
+	}
+	var limited *LimitedError
+	if errors.As(err, &limited) {
+		return max(limited.After, busyRetryAfter, min(spread, queueSpread))
 	}
 	var queueTimeout *QueueTimeoutError
 	if errors.As(err, &queueTimeout) {
-		return queueRetryAfter + time.Duration(random*float64(queueRetryJitter))
+		return queueSpread
 	}
 	var crashingPart *CrashingPartError
 	if errors.As(err, &crashingPart) {
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -142,6 +142,7 @@
 	t.Source, t.ReservationID = h, s.id
 	var latency time.Duration
 	if err == nil {
+		r.tracker.take(t.Endpoint.key(), r.fleet.Entries)
 		latency, err = r.send(ctx, cs, t, start)
 	}
 	if latency > 0 {
@@ -179,11 +180,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	if t.ReservationID != "" {
+		r.tracker.take(t.Endpoint.key(), r.fleet.Entries)
 		if err := r.engines.ReleaseReservation(ctx, t.Endpoint, t.ReservationID); err != nil {
 			r.log.WithError(err).WithField("Endpoint", t.Endpoint.Name).Debug("reservation not released, it will expire")
 		}
 	}
 	if t.Source.ID != "" {
+		r.tracker.take(t.Source.At.key(), r.fleet.Entries)
 		if err := r.engines.FreePrefill(ctx, t.Source); err != nil {
 			r.log.WithError(err).WithField("Endpoint", t.Source.At.Name).Debug("prefill result not freed, it will expire")
 		}
@@ -227,6 +230,9 @@
 	onTimeUntil, abandonAt := m.dueBy.Add(-startLatency), cs.abandonTime(m.lastSent).Add(-startLatency)
 	ctx, cancel := context.WithDeadline(ctx, abandonAt)
 	defer cancel()
+	if err := r.limitedError(cs.pool.Name, controlv1.Role_ROLE_DECODE); err != nil {
+		return reservation{}, err
+	}
 	if r.allocator != nil && r.knowsDecodeEngine(cs.pool.Name) {
 		s, err := r.allocate(ctx, cs, m.started, onTimeUntil, abandonAt)
 		var queueTimeout *QueueTimeoutError
@@ -286,11 +292,12 @@
 	var lastErr error
 	members := r.fleet.Endpoints(cs.pool.Name)
 	for range maxReservationAttempts {
-		e, inFlight := r.tracker.pick(members, criteria{
-			now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_DECODE, attempted: asked, weight: float64(s.tokens),
-		})
+		c := criteria{
+			now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_DECODE, attempted: asked, weight: float64(s.tokens), entries: r.fleet.Entries,
+		}
+		e, inFlight := r.tracker.pick(members, c)
 		if e == nil {
-			return reservation{}, &NoEndpointError{Pool: cs.pool.Name}
+			return reservation{}, r.noEndpointError(cs.pool.Name, members, c)
 		}
 		id, err := r.reserveAt(ctx, cs, e, s.tokens)
 		if err == nil {
@@ -365,11 +372,12 @@
 func (r *Relay) tryPrefill(ctx context.Context, cs *callState, asked map[string]bool, suggested string) (Handle, error) {
 	weight := float64(cs.call.Prompt.Tokens)
 	members := r.fleet.Endpoints(cs.pool.Name)
-	e, inFlight := r.tracker.pick(members, criteria{
-		now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_PREFILL, weight: weight, attempted: asked, suggested: suggested,
-	})
+	c := criteria{
+		now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_PREFILL, weight: weight, attempted: asked, suggested: suggested, entries: r.fleet.Entries,
+	}
+	e, inFlight := r.tracker.pick(members, c)
 	if e == nil {
-		return Handle{}, &NoEndpointError{Pool: cs.pool.Name}
+		return Handle{}, r.noEndpointError(cs.pool.Name, members, c)
 	}
 	asked[e.GetName()] = true
 	cs.prefills++
--- /dev/null
+++ b/relay/limit.go
@@ -0,0 +1,148 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	controlv1 "ebonyreel/proto/control/v1"
+)
+
+const (
+	// minRequestLimit is the least rate that all entries together send to an endpoint, in
+	// requests a second, so that they hear of the end of its limit.
+	minRequestLimit = 0.1
+	// maxLimitCredit is how long a request that a limit allowed, and that was not sent,
+	// may be sent later. Entries that were idle must not all send at once.
+	maxLimitCredit = time.Second
+	// limitMemory is how long a limit of an endpoint that is not heard holds.
+	limitMemory = 10 * time.Minute
+)
+
+// requestLimit bounds the requests of this entry to an endpoint that names a limit on
+// those of all entries. Each entry takes an equal share, in turns of its own that begin
+// at a random time, so that it needs no word of the others. The zero value allows all.
+type requestLimit struct {
+	// named is true while the endpoint names a limit, rate is the limit, in requests a
+	// second, and heard is when it was last named.
+	named bool
+	rate  float64
+	heard time.Time
+	// next is the next turn of this entry.
+	next time.Time
+}
+
+// interval returns the time between two turns of one of the entries.
+func (l *requestLimit) interval(entries int) time.Duration {
+	return time.Duration(float64(max(entries, 1)) / max(l.rate, minRequestLimit) * float64(time.Second))
+}
+
+// hear takes the limit that the endpoint named in an answer. random is drawn from 0 to 1.
+// It reports whether the limit is new.
+func (l *requestLimit) hear(now time.Time, rate float64, entries int, random float64) bool {
+	changed := !l.named || l.rate != rate
+	if changed {
+		old := *l
+		l.named, l.rate = true, rate
+		first := now.Add(time.Duration(random * float64(l.interval(entries))))
+		if !old.named || rate > old.rate && first.Before(l.next) {
+			l.next = first
+		}
+	}
+	l.heard = now
+	return changed
+}
+
+// allows reports whether this entry may send a request now.
+func (l *requestLimit) allows(now time.Time, entries int) bool {
+	if !l.named {
+		return true
+	}
+	interval := l.interval(entries)
+	if unused := now.Sub(l.next); unused > maxLimitCredit {
+		if interval <= maxLimitCredit {
+			l.next = now.Add(-maxLimitCredit)
+		} else if l.next = l.next.Add(unused / interval * interval); now.Sub(l.next) > maxLimitCredit {
+			l.next = l.next.Add(interval)
+		}
+	}
+	return !now.Before(l.next)
+}
+
+// take counts a request of this entry.
+func (l *requestLimit) take(entries int) {
+	if l.named {
+		l.next = l.next.Add(l.interval(entries))
+	}
+}
+
+// LimitedError reports a pool all endpoints of which name limits on requests that this
+// entry has used.
+type LimitedError struct {
+	Pool string
+	// After is the time until an endpoint takes another request of this entry.
+	After time.Duration
+}
+
+// Error returns a message with the name of the pool.
+func (e *LimitedError) Error() string {
+	return "all endpoints of " + e.Pool + " limit their requests"
+}
+
+// noEndpointError returns why pick found no endpoint: a *LimitedError where endpoints
+// that take the role have limits, and a *NoEndpointError where there are none.
+func (r *Relay) noEndpointError(pool string, members []*controlv1.Endpoint, c criteria) error {
+	if after, ok := r.tracker.nextTurn(members, c); ok {
+		return &LimitedError{Pool: pool, After: after}
+	}
+	return &NoEndpointError{Pool: pool}
+}
+
+// limitedError returns a *LimitedError where the limits of all endpoints of a pool that
+// take a role allow no request now.
+func (r *Relay) limitedError(pool string, role controlv1.Role) error {
+	members, now := r.fleet.Endpoints(pool), time.Now()
+	limited := r.tracker.limited(members, now, r.fleet.Entries)
+	if len(limited) == 0 || slices.ContainsFunc(members, func(e *controlv1.Endpoint) bool {
+		return takesRole(e, role) && !slices.Contains(limited, e.GetName())
+	}) {
+		return nil
+	}
+	return r.noEndpointError(pool, members, criteria{now: now, role: role})
+}
+
+// nextTurn returns the time until the limit of an endpoint that takes a role allows a
+// request. ok is false where there is no endpoint with a limit.
+func (t *tracker) nextTurn(members []*controlv1.Endpoint, c criteria) (after time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range members {
+		if l := &t.statsOf(keyOf(e)).limit; takesRole(e, c.role) && l.named {
+			if left := l.next.Sub(c.now); !ok || left < after {
+				after, ok = left, true
+			}
+		}
+	}
+	return max(after, 0), ok
+}
+
+// limited returns the names of the endpoints whose limits allow no request now.
+func (t *tracker) limited(members []*controlv1.Endpoint, now time.Time, entries func() int) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for _, e := range members {
+		if s := t.endpoints[keyOf(e)]; s != nil && s.limit.named && !s.limit.allows(now, entries()) {
+			out = append(out, e.GetName())
+		}
+	}
+	return out
+}
+
+// take counts a request to an endpoint against its limit.
+func (t *tracker) take(k endpointKey, entries func() int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.endpoints[k]; s != nil && s.limit.named {
+		s.limit.take(entries())
+	}
+}
--- /dev/null
+++ b/relay/limit_test.go
@@ -0,0 +1,129 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestRequestLimit runs the loads in testdata/limits on the limits of many entries,
+// without any word between them. Within each 4 s an endpoint may get at most one and a
+// half times the requests of its limit, and five more. Of a heavy load, most of what the
+// limit allows must be sent.
+func TestRequestLimit(t *testing.T) {
+	datadriven.Walk(t, "testdata/limits", func(t *testing.T, path string) {
+		var s *limitSimulation
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "fleet":
+				s = newLimitSimulation(t, d)
+				return ""
+			case "load":
+				return s.load(t, d)
+			case "check":
+				return s.check()
+			}
+			t.Fatalf("unknown command %s", d.Cmd)
+			return ""
+		})
+	})
+}
+
+// limitSimulation is an endpoint with a limit and the entries that call it, on a
+// simulated clock.
+type limitSimulation struct {
+	random *rand.Rand
+	now    time.Time
+	limits []requestLimit
+	rate   float64
+	sent   []time.Time
+}
+
+func newLimitSimulation(t *testing.T, d *datadriven.TestData) *limitSimulation {
+	t.Helper()
+	s := &limitSimulation{random: rand.New(rand.NewPCG(1, 2)), now: time.Unix(1, 0)}
+	entries := 0
+	d.ScanArgs(t, "entries", &entries)
+	d.ScanArgs(t, "limit", &s.rate)
+	s.limits = make([]requestLimit, entries)
+	for i := range s.limits {
+		s.limits[i].hear(s.now, s.rate, entries, s.random.Float64())
+	}
+	return s
+}
+
+// load offers calls at a rate per second of the fleet, and reports which part of the
+// limit was used.
+func (s *limitSimulation) load(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	var rate, seconds float64
+	d.ScanArgs(t, "rate", &rate)
+	d.ScanArgs(t, "seconds", &seconds)
+	sent := 0
+	for end := s.now.Add(time.Duration(seconds * float64(time.Second))); s.now.Before(end); {
+		s.now = s.now.Add(time.Duration(s.random.ExpFloat64() / rate * float64(time.Second)))
+		if l := &s.limits[s.random.IntN(len(s.limits))]; l.allows(s.now, len(s.limits)) {
+			l.take(len(s.limits))
+			s.sent = append(s.sent, s.now)
+			sent++
+		}
+	}
+	used := float64(sent) / (s.rate * seconds)
+	for _, share := range []float64{0.9, 0.5} {
+		if used >= share {
+			return fmt.Sprintf("used: at least %.1f\n", share)
+		}
+	}
+	return "used: less\n"
+}
+
+// check compares each window with the limit.
+func (s *limitSimulation) check() string {
+	const window = 4 * time.Second
+	most, from := 0, 0
+	for to, at := range s.sent {
+		for at.Sub(s.sent[from]) > window {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return fmt.Sprintf("within the limit: %t\n", float64(most) <= 1.5*s.rate*window.Seconds()+5)
+}
+
+// TestLimitEnds checks what ends a limit: an answer without one to a request that was
+// sent after the limit was last named, and another lifetime of the endpoint.
+func TestLimitEnds(t *testing.T) {
+	var tr tracker
+	entries := func() int { return 4 }
+	e := Endpoint{Name: "e", Lifetime: 1}
+	before := time.Now()
+	for _, k := range []struct {
+		statement Statement
+		sent      time.Time
+		want      statementChange
+	}{
+		{Statement{}, before, statementUnchanged},
+		{Statement{Limited: true, RequestLimit: 2}, before, limitNamed},
+		{Statement{Limited: true, RequestLimit: 2}, before, statementUnchanged},
+		{Statement{}, before, statementUnchanged},
+		{Statement{Malformed: true}, time.Now().Add(time.Second), statementMalformed},
+		{Statement{Malformed: true}, time.Now().Add(time.Second), statementUnchanged},
+		{Statement{Limited: true, RequestLimit: 3}, before, limitNamed},
+		{Statement{}, time.Now().Add(time.Second), limitEnded},
+		{Statement{}, time.Now().Add(time.Second), statementUnchanged},
+		{Statement{Limited: true, RequestLimit: 2}, before, limitNamed},
+	} {
+		if got := tr.hear(e, k.statement, k.sent, entries, 1); got != k.want {
+			t.Errorf("%+v: %d, want %d", k.statement, got, k.want)
+		}
+	}
+	if tr.statsOf(e.key()).limit.allows(time.Now(), 4) {
+		t.Error("the limit allows a request before the first turn")
+	}
+	if s := tr.statsOf(Endpoint{Name: "e", Lifetime: 2}.key()); s.limit.named {
+		t.Error("another lifetime has the limit")
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -302,8 +302,9 @@
 	var callerGone *CallerGoneError
 	var queueTimeout *QueueTimeoutError
 	var crashingPart *CrashingPartError
+	var limited *LimitedError
 	switch {
-	case errors.As(err, &callerGone), errors.As(err, &crashingPart):
+	case errors.As(err, &callerGone), errors.As(err, &crashingPart), errors.As(err, &limited):
 		return false
 	case errors.As(err, &dialErr):
 		cs.dialFailures++
@@ -399,11 +400,11 @@
 	if cs.reservesMemory() {
 		return r.generate(ctx, cs)
 	}
-	c := criteria{now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_DECODE, attempted: cs.attempted, weight: 1}
+	c := criteria{now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_DECODE, attempted: cs.attempted, weight: 1, entries: r.fleet.Entries}
 	members := r.fleet.Endpoints(cs.pool.Name)
 	e, inFlight := r.tracker.pick(members, c)
 	if e == nil {
-		return &NoEndpointError{Pool: cs.pool.Name}
+		return r.noEndpointError(cs.pool.Name, members, c)
 	}
 	cs.recordChoice(c.role, len(members), e, inFlight)
 	latency, err := r.send(ctx, cs, r.newAttempt(cs, e), time.Now())
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -361,6 +361,11 @@
 		}
 		synctest.Test(t, func(t *testing.T) {
 			c.Arrived = time.Now()
+			for _, e := range f.endpoints {
+				if d.HasArg("limited") {
+					r.Heard(endpointOf(e), Statement{Limited: true, RequestLimit: 1}, time.Now())
+				}
+			}
 			r.Serve(t.Context(), c, out)
 		})
 		return strings.Join(append(s.calls, out.out.String()), "\n")
--- a/relay/statement.go
+++ b/relay/statement.go
@@ -21,8 +21,7 @@
 // Heard takes what an endpoint says of itself in the answer to a request that was sent
 // at some time.
 func (r *Relay) Heard(e Endpoint, s Statement, sent time.Time) {
-	change := r.tracker.hear(e, s, sent)
-	switch change {
+	switch r.tracker.hear(e, s, sent, r.fleet.Entries, r.random()) {
 	case limitNamed:
 		r.log.WithFields(logrus.Fields{"Endpoint": e.Name, "RequestsPerSecond": s.RequestLimit, "Entries": r.fleet.Entries()}).Info("endpoint limits requests")
 	case limitEnded:
@@ -45,10 +44,10 @@
 
 // hear records a statement. A limit ends with an answer without one, unless its request
 // was sent before the limit was last named, as answers may overtake each other.
-func (t *tracker) hear(e Endpoint, s Statement, sent time.Time) statementChange {
+func (t *tracker) hear(e Endpoint, s Statement, sent time.Time, entries func() int, random float64) statementChange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	stats, now := t.statsOf(endpointKey{name: e.Name, lifetime: e.Lifetime}), time.Now()
+	stats := t.statsOf(e.key())
 	switch {
 	case s.Malformed:
 		first := !stats.malformed
@@ -57,13 +56,11 @@
 			return statementMalformed
 		}
 	case s.Limited:
-		changed := !stats.limited || stats.requestLimit != s.RequestLimit
-		stats.limited, stats.requestLimit, stats.limitHeard = true, s.RequestLimit, now
-		if changed {
+		if stats.limit.hear(time.Now(), s.RequestLimit, entries(), random) {
 			return limitNamed
 		}
-	case stats.limited && sent.After(stats.limitHeard):
-		stats.limited = false
+	case stats.limit.named && sent.After(stats.limit.heard):
+		stats.limit.named = false
 		return limitEnded
 	}
 	return statementUnchanged
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -75,13 +75,15 @@
 	// often it was unreachable since the last successful call.
 	backoffUntil  time.Time
 	failuresInRow int
-	// limited is true where the endpoint names a requestLimit, in requests a second of
-	// all entries, and limitHeard is when it last did. malformed is true once it has said
+	// limit is the endpoint's limit on requests. malformed is true once it has said
 	// something that was not understood.
-	limited      bool
-	requestLimit float64
-	limitHeard   time.Time
-	malformed    bool
+	limit     requestLimit
+	malformed bool
+}
+
+// key returns the key of the endpoint's statistics.
+func (e Endpoint) key() endpointKey {
+	return endpointKey{name: e.Name, lifetime: e.Lifetime}
 }
 
 func keyOf(e *controlv1.Endpoint) endpointKey {
@@ -114,12 +116,14 @@
 	// suggested is the name of the endpoint to use unless it is backed off or was
 	// attempted; empty for none.
 	suggested string
+	// entries returns the number of entries.
+	entries func() int
 }
 
 // pick returns the endpoint with the least cost, or nil, and counts a call in
 // flight there until end. It also returns the number of this entry's other calls
 // in flight there. Endpoints that are backed off or were attempted before are used
-// only where there is no other.
+// only where there is no other, and those whose limits allow no request are not used.
 func (t *tracker) pick(members []*controlv1.Endpoint, c criteria) (*controlv1.Endpoint, int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -135,6 +139,9 @@
 		if _, err := netip.ParseAddrPort(e.GetAddress()); err != nil || !takesRole(e, c.role) {
 			continue
 		}
+		if s := t.endpoints[keyOf(e)]; s != nil && s.limit.named && !s.limit.allows(c.now, c.entries()) {
+			continue
+		}
 		cost := t.cost(e, c)
 		if e.GetName() == c.suggested && cost < lastResortCost {
 			cost = 0
@@ -146,19 +153,23 @@
 	if best == nil {
 		return nil, 0
 	}
-	return best, t.statsOf(keyOf(best)).begin(c.weight)
+	return best, t.statsOf(keyOf(best)).begin(c.weight, c.entries)
 }
 
 // begin counts a call in flight at an endpoint until end. It returns the number of
 // this entry's other calls in flight there.
-func (t *tracker) begin(e *controlv1.Endpoint, weight float64) int {
+func (t *tracker) begin(e *controlv1.Endpoint, weight float64, entries func() int) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.statsOf(keyOf(e)).begin(weight)
+	return t.statsOf(keyOf(e)).begin(weight, entries)
 }
 
-// begin counts a call in flight and returns the number of the others.
-func (s *endpointStats) begin(weight float64) int {
+// begin counts a call in flight, and a request against the endpoint's limit. It returns
+// the number of the other calls.
+func (s *endpointStats) begin(weight float64, entries func() int) int {
+	if s.limit.named {
+		s.limit.take(entries())
+	}
 	s.load, s.calls = s.load+weight, s.calls+1
 	return s.calls - 1
 }
@@ -215,7 +226,7 @@
 	}
 	t.lastSweep = now
 	for k, s := range t.endpoints {
-		if s.calls == 0 && now.Sub(s.lastUsed) > forgetAfter {
+		if s.calls == 0 && now.Sub(s.lastUsed) > forgetAfter && (!s.limit.named || now.Sub(s.limit.heard) > limitMemory) {
 			delete(t.endpoints, k)
 		}
 	}
