Take a stream that ends with its connection before any event as broken off

Callers would see: 200 and an empty stream, as if whole, where an engine crashed at its first token and its answer had neither a length nor chunks. The crash would not be counted against the parts of the prompt.

Cause: the end of the connection was the end of such a stream in any case.

Change: an answer knows whether anything but its connection ends it. Such a stream without an event has been broken off: it is sent again where the route allows it, and counts as a crash once the endpoint accepts no connections. One that ends within an event was an error before; one that ends between two later events can't be told from a whole one.

Evidence: TestServe, "unframed": on the code before the caller got an empty whole stream, on both routes; now the call is sent again, or ends as outcome unknown.

--- a/relay/call.go
+++ b/relay/call.go
@@ -99,6 +99,9 @@
 	Header http.Header
 	// Events is true for a stream of events.
 	Events bool
+	// Unframed is true for an answer whose end is that of the connection, so that it looks
+	// the same where the endpoint broke it off.
+	Unframed bool
 	// NotRun is true where the endpoint says that it did not run the request.
 	NotRun bool
 	// Misdirected is true where another endpoint now has the address.
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -46,6 +46,10 @@
 	for {
 		event, err := reader.next()
 		if errors.Is(err, io.EOF) {
+			if reply.Unframed && cs.lastEvent == "" {
+				// The endpoint crashed before its first event.
+				return latency, io.ErrUnexpectedEOF
+			}
 			if cs.attemptEvents > 0 {
 				r.markSound(cs)
 			}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -92,7 +92,7 @@
 }
 
 // Send follows one line of the script: a status with a body, "full", "misdirected",
-// "unreachable", "lost", "silent" or "events" with their IDs. Instead of an ID,
+// "unreachable", "lost", "silent" or "events" with their IDs, "unframed" with the same. Instead of an ID,
 // "cut" fails the stream within an event, "reset" fails it between two events,
 // "comments" sends comments, "pause" pauses it, a last "hang" sends nothing more, and
 // a last "endless-comments" nothing but comments.
@@ -122,7 +122,8 @@
 		reply.Status, reply.NotRun = http.StatusServiceUnavailable, true
 	case "misdirected":
 		reply.Status, reply.Misdirected = http.StatusMisdirectedRequest, true
-	case "events":
+	case "events", "unframed":
+		reply.Unframed = verb == "unframed"
 		ids, hangs := strings.CutSuffix(rest, " hang")
 		reply.Events, reply.Body = true, io.NopCloser(streamOf(strings.Fields(ids)))
 		if ids, endless := strings.CutSuffix(rest, "endless-comments"); endless {
