Leave a part of a request limit unused where turns of entries are rare

Endpoints would see: with 400 entries and a limit of 3.6 a second, windows of 4 s with more than one and a half times the limit and five more.

Cause: the turns of entries are independent. Where each entry has one in many seconds, the number of turns in a window varies as that of random arrivals does.

Change: where an entry has less than one turn in 4 s, the entries use 0.6 of the limit together.

Evidence: TestRequestLimit, 400 entries, 600 s of heavy load: not within the limit before, within it now; at least half of the limit is still used.

--- a/relay/limit.go
+++ b/relay/limit.go
@@ -14,6 +14,11 @@
 	// maxLimitCredit is how long a request that a limit allowed, and that was not sent,
 	// may be sent later. Entries that were idle must not all send at once.
 	maxLimitCredit = time.Second
+	// rareTurn is the time between two turns of an entry above which the entries leave a
+	// part of the limit unused, and rareShare the part that they use: their turns are
+	// independent, and many may meet.
+	rareTurn  = 4 * time.Second
+	rareShare = 0.6
 	// limitMemory is how long a limit of an endpoint that is not heard holds.
 	limitMemory = 10 * time.Minute
 )
@@ -33,7 +38,11 @@
 
 // interval returns the time between two turns of one of the entries.
 func (l *requestLimit) interval(entries int) time.Duration {
-	return time.Duration(float64(max(entries, 1)) / max(l.rate, minRequestLimit) * float64(time.Second))
+	seconds := float64(max(entries, 1)) / max(l.rate, minRequestLimit)
+	if seconds > rareTurn.Seconds() {
+		seconds /= rareShare
+	}
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // hear takes the limit that the endpoint named in an answer. random is drawn from 0 to 1.
