Send nothing more to an endpoint that says in an answer that it leaves

Endpoints saw: calls go on to one that says `Server-Leaving` in its answers and is still announced as ready, until its announcement comes.

Change: what an endpoint has said is kept in one place (`relay.admission`, without clock and I/O): its limit and that it leaves, for its lifetime.

Left: an entry knows it from answers to its own calls only; control is not told.

--- a/relay/allocate.go
+++ b/relay/allocate.go
@@ -111,7 +111,7 @@
 	}
 	for {
 		members := r.fleet.Endpoints(cs.pool.Name)
-		in.Excluded = r.tracker.limited(members, time.Now(), r.fleet.Entries)
+		in.Excluded = r.tracker.closed(members, time.Now(), r.fleet.Entries)
 		for name := range cs.attempted {
 			in.Excluded = append(in.Excluded, name)
 		}
@@ -146,7 +146,7 @@
 		return reservation{}, &NoEndpointError{Pool: cs.pool.Name}
 	}
 	e, tokens := members[i], int(res.GetTokens())
-	if len(r.tracker.limited(members[i:i+1], time.Now(), r.fleet.Entries)) > 0 {
+	if len(r.tracker.closed(members[i:i+1], time.Now(), r.fleet.Entries)) > 0 {
 		return reservation{}, &NotRunError{}
 	}
 	inFlight := r.tracker.begin(e, float64(tokens), r.fleet.Entries)
--- a/relay/errors.go
+++ b/relay/errors.go
@@ -104,11 +104,11 @@
 	var queueTimeout *QueueTimeoutError
 	var dialErr *transport.DialError
 	var crashingPart *CrashingPartError
-	var limited *LimitedError
+	var deferred *DeferredError
 	switch {
 	case errors.As(err, &noEndpoint):
 		return NoEndpoint
-	case errors.As(err, &limited):
+	case errors.As(err, &deferred):
 		return Busy
 	case errors.As(err, &crashingPart):
 		return Crashing
@@ -131,9 +131,9 @@
 	if errors.As(err, &notRun) {
 		return max(notRun.RetryAfter, busyRetryAfter, spread)
 	}
-	var limited *LimitedError
-	if errors.As(err, &limited) {
-		return max(limited.After, busyRetryAfter, min(spread, queueSpread))
+	var deferred *DeferredError
+	if errors.As(err, &deferred) {
+		return max(deferred.After, busyRetryAfter, min(spread, queueSpread))
 	}
 	var queueTimeout *QueueTimeoutError
 	if errors.As(err, &queueTimeout) {
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -230,7 +230,7 @@
 	onTimeUntil, abandonAt := m.dueBy.Add(-startLatency), cs.abandonTime(m.lastSent).Add(-startLatency)
 	ctx, cancel := context.WithDeadline(ctx, abandonAt)
 	defer cancel()
-	if err := r.limitedError(cs.pool.Name, controlv1.Role_ROLE_DECODE); err != nil {
+	if err := r.admissionError(cs.pool.Name, controlv1.Role_ROLE_DECODE); err != nil {
 		return reservation{}, err
 	}
 	if r.allocator != nil && r.knowsDecodeEngine(cs.pool.Name) {
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -1,11 +1,6 @@
 package relay
 
-import (
-	"slices"
-	"time"
-
-	controlv1 "ebonyreel/proto/control/v1"
-)
+import "time"
 
 const (
 	// minRequestLimit is the least rate that all entries together send to an endpoint, in
@@ -83,75 +78,3 @@
 		l.next = l.next.Add(l.interval(entries))
 	}
 }
-
-// LimitedError reports a pool all endpoints of which name limits on requests that this
-// entry has used.
-type LimitedError struct {
-	Pool string
-	// After is the time until an endpoint takes another request of this entry.
-	After time.Duration
-}
-
-// Error returns a message with the name of the pool.
-func (e *LimitedError) Error() string {
-	return "all endpoints of " + e.Pool + " limit their requests"
-}
-
-// noEndpointError returns why pick found no endpoint: a *LimitedError where endpoints
-// that take the role have limits, and a *NoEndpointError where there are none.
-func (r *Relay) noEndpointError(pool string, members []*controlv1.Endpoint, c criteria) error {
-	if after, ok := r.tracker.nextTurn(members, c); ok {
-		return &LimitedError{Pool: pool, After: after}
-	}
-	return &NoEndpointError{Pool: pool}
-}
-
-// limitedError returns a *LimitedError where the limits of all endpoints of a pool that
-// take a role allow no request now.
-func (r *Relay) limitedError(pool string, role controlv1.Role) error {
-	members, now := r.fleet.Endpoints(pool), time.Now()
-	limited := r.tracker.limited(members, now, r.fleet.Entries)
-	if len(limited) == 0 || slices.ContainsFunc(members, func(e *controlv1.Endpoint) bool {
-		return takesRole(e, role) && !slices.Contains(limited, e.GetName())
-	}) {
-		return nil
-	}
-	return r.noEndpointError(pool, members, criteria{now: now, role: role})
-}
-
-// nextTurn returns the time until the limit of an endpoint that takes a role allows a
-// request. ok is false where there is no endpoint with a limit.
-func (t *tracker) nextTurn(members []*controlv1.Endpoint, c criteria) (after time.Duration, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, e := range members {
-		if l := &t.statsOf(keyOf(e)).limit; takesRole(e, c.role) && l.named {
-			if left := l.next.Sub(c.now); !ok || left < after {
-				after, ok = left, true
-			}
-		}
-	}
-	return max(after, 0), ok
-}
-
-// limited returns the names of the endpoints whose limits allow no request now.
-func (t *tracker) limited(members []*controlv1.Endpoint, now time.Time, entries func() int) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []string
-	for _, e := range members {
-		if s := t.endpoints[keyOf(e)]; s != nil && s.limit.named && !s.limit.allows(now, entries()) {
-			out = append(out, e.GetName())
-		}
-	}
-	return out
-}
-
-// take counts a request to an endpoint against its limit.
-func (t *tracker) take(k endpointKey, entries func() int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s := t.endpoints[k]; s != nil && s.limit.named {
-		s.limit.take(entries())
-	}
-}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -302,9 +302,9 @@
 	var callerGone *CallerGoneError
 	var queueTimeout *QueueTimeoutError
 	var crashingPart *CrashingPartError
-	var limited *LimitedError
+	var deferred *DeferredError
 	switch {
-	case errors.As(err, &callerGone), errors.As(err, &crashingPart), errors.As(err, &limited):
+	case errors.As(err, &callerGone), errors.As(err, &crashingPart), errors.As(err, &deferred):
 		return false
 	case errors.As(err, &dialErr):
 		cs.dialFailures++
--- a/relay/statement.go
+++ b/relay/statement.go
@@ -13,11 +13,79 @@
 	// it takes from all entries together.
 	Limited      bool
 	RequestLimit float64
-	// Malformed is true where a part of the statement was not understood. The endpoint is
-	// then taken to have said nothing.
+	// Leaving is true where the endpoint takes no more work in its lifetime.
+	Leaving bool
+	// Malformed is true where a part of the statement was not understood. That part is
+	// then taken as not said.
 	Malformed bool
 }
 
+// admission is what an endpoint has said about the requests that it takes from this
+// entry. The zero value takes all.
+type admission struct {
+	limit requestLimit
+	// leaving is true once the endpoint has said that it leaves, and malformed once it has
+	// said something that was not understood.
+	leaving   bool
+	malformed bool
+}
+
+// statementChange is what a statement changes.
+type statementChange int
+
+const (
+	statementUnchanged statementChange = iota
+	limitNamed
+	limitEnded
+	leavingSaid
+	statementMalformed
+)
+
+// hear takes a statement in the answer to a request that was sent at some time. A limit
+// ends with an answer without one, unless its request was sent before the limit was last
+// named, as answers may overtake each other.
+func (a *admission) hear(now, sent time.Time, s Statement, entries func() int, random float64) statementChange {
+	change := statementUnchanged
+	if s.Malformed && !a.malformed {
+		a.malformed, change = true, statementMalformed
+	}
+	if s.Leaving && !a.leaving {
+		a.leaving, change = true, leavingSaid
+	}
+	switch {
+	case s.Limited:
+		if a.limit.hear(now, s.RequestLimit, entries(), random) {
+			change = limitNamed
+		}
+	case a.limit.named && !s.Malformed && sent.After(a.limit.heard):
+		a.limit.named, change = false, limitEnded
+	}
+	return change
+}
+
+// allows reports whether the endpoint takes a request of this entry now.
+func (a *admission) allows(now time.Time, entries func() int) bool {
+	return !a.leaving && (!a.limit.named || a.limit.allows(now, entries()))
+}
+
+// take counts a request of this entry.
+func (a *admission) take(entries func() int) {
+	if a.limit.named {
+		a.limit.take(entries())
+	}
+}
+
+// nextRequest returns when the endpoint takes another request. ok is false where it
+// names no time.
+func (a *admission) nextRequest() (at time.Time, ok bool) {
+	return a.limit.next, !a.leaving && a.limit.named
+}
+
+// holds reports whether anything of what the endpoint has said is still to be kept.
+func (a *admission) holds(now time.Time) bool {
+	return a.leaving || a.limit.named && now.Sub(a.limit.heard) <= limitMemory
+}
+
 // Heard takes what an endpoint says of itself in the answer to a request that was sent
 // at some time.
 func (r *Relay) Heard(e Endpoint, s Statement, sent time.Time) {
@@ -26,42 +94,24 @@
 		r.log.WithFields(logrus.Fields{"Endpoint": e.Name, "RequestsPerSecond": s.RequestLimit, "Entries": r.fleet.Entries()}).Info("endpoint limits requests")
 	case limitEnded:
 		r.log.WithField("Endpoint", e.Name).Info("endpoint limits requests no longer")
+	case leavingSaid:
+		r.log.WithField("Endpoint", e.Name).Info("endpoint says that it leaves")
 	case statementMalformed:
 		r.log.WithField("Endpoint", e.Name).Warn("statement of an endpoint not understood")
 	case statementUnchanged:
 	}
 }
 
-// statementChange is what a statement changes.
-type statementChange int
-
-const (
-	statementUnchanged statementChange = iota
-	limitNamed
-	limitEnded
-	statementMalformed
-)
-
-// hear records a statement. A limit ends with an answer without one, unless its request
-// was sent before the limit was last named, as answers may overtake each other.
+// hear records a statement of an endpoint.
 func (t *tracker) hear(e Endpoint, s Statement, sent time.Time, entries func() int, random float64) statementChange {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	stats := t.statsOf(e.key())
-	switch {
-	case s.Malformed:
-		first := !stats.malformed
-		stats.malformed = true
-		if first {
-			return statementMalformed
-		}
-	case s.Limited:
-		if stats.limit.hear(time.Now(), s.RequestLimit, entries(), random) {
-			return limitNamed
+	stats := t.endpoints[e.key()]
+	if stats == nil {
+		if s == (Statement{}) {
+			return statementUnchanged
 		}
-	case stats.limit.named && sent.After(stats.limit.heard):
-		stats.limit.named = false
-		return limitEnded
+		stats = t.statsOf(e.key())
 	}
-	return statementUnchanged
+	return stats.admission.hear(time.Now(), sent, s, entries, random)
 }
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -75,10 +75,8 @@
 	// often it was unreachable since the last successful call.
 	backoffUntil  time.Time
 	failuresInRow int
-	// limit is the endpoint's limit on requests. malformed is true once it has said
-	// something that was not understood.
-	limit     requestLimit
-	malformed bool
+	// admission is what the endpoint has said about the requests that it takes.
+	admission admission
 }
 
 // key returns the key of the endpoint's statistics.
@@ -123,7 +121,7 @@
 // pick returns the endpoint with the least cost, or nil, and counts a call in
 // flight there until end. It also returns the number of this entry's other calls
 // in flight there. Endpoints that are backed off or were attempted before are used
-// only where there is no other, and those whose limits allow no request are not used.
+// only where there is no other, and those that take no request now are not used.
 func (t *tracker) pick(members []*controlv1.Endpoint, c criteria) (*controlv1.Endpoint, int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -139,7 +137,7 @@
 		if _, err := netip.ParseAddrPort(e.GetAddress()); err != nil || !takesRole(e, c.role) {
 			continue
 		}
-		if s := t.endpoints[keyOf(e)]; s != nil && s.limit.named && !s.limit.allows(c.now, c.entries()) {
+		if s := t.endpoints[keyOf(e)]; s != nil && !s.admission.allows(c.now, c.entries) {
 			continue
 		}
 		cost := t.cost(e, c)
@@ -167,9 +165,7 @@
 // begin counts a call in flight, and a request against the endpoint's limit. It returns
 // the number of the other calls.
 func (s *endpointStats) begin(weight float64, entries func() int) int {
-	if s.limit.named {
-		s.limit.take(entries())
-	}
+	s.admission.take(entries)
 	s.load, s.calls = s.load+weight, s.calls+1
 	return s.calls - 1
 }
@@ -226,7 +222,7 @@
 	}
 	t.lastSweep = now
 	for k, s := range t.endpoints {
-		if s.calls == 0 && now.Sub(s.lastUsed) > forgetAfter && (!s.limit.named || now.Sub(s.limit.heard) > limitMemory) {
+		if s.calls == 0 && now.Sub(s.lastUsed) > forgetAfter && !s.admission.holds(now) {
 			delete(t.endpoints, k)
 		}
 	}
