Send an endpoint nothing while it wants nothing, as its Retry-After says

Endpoints saw: one that turns a call away with 503 and `Retry-After` gets more calls of the same entry 50 ms later.

Cause: Retry-After bound only the call that was turned away; other calls avoided the endpoint for 50 ms, and only where there was another.

Change: a 503 with Retry-After is part of what an endpoint says of itself, for calls, reservations and prefills. Until that time no choice takes the endpoint. Where no endpoint of a pool takes a request now, callers are told at once, and spread over the time after the first that will.

Evidence: TestQuietEndpoint failed on the code before, 24 calls of one entry between half a second after the answer and the end of its 2 s (2 allowed); passes now.

--- a/relay/errors.go
+++ b/relay/errors.go
@@ -133,7 +133,7 @@
 	}
 	var deferred *DeferredError
 	if errors.As(err, &deferred) {
-		return max(deferred.After, busyRetryAfter, min(spread, queueSpread))
+		return max(deferred.After+min(spread, queueSpread), busyRetryAfter)
 	}
 	var queueTimeout *QueueTimeoutError
 	if errors.As(err, &queueTimeout) {
--- a/relay/statement.go
+++ b/relay/statement.go
@@ -13,6 +13,9 @@
 	// it takes from all entries together.
 	Limited      bool
 	RequestLimit float64
+	// Pause is how long the endpoint wants nothing of this entry, as it has turned a
+	// request away; zero where it does not say.
+	Pause time.Duration
 	// Leaving is true where the endpoint takes no more work in its lifetime.
 	Leaving bool
 	// Malformed is true where a part of the statement was not understood. That part is
@@ -24,6 +27,8 @@
 // entry. The zero value takes all.
 type admission struct {
 	limit requestLimit
+	// pausedUntil is until when the endpoint wants nothing of this entry.
+	pausedUntil time.Time
 	// leaving is true once the endpoint has said that it leaves, and malformed once it has
 	// said something that was not understood.
 	leaving   bool
@@ -52,6 +57,9 @@
 	if s.Leaving && !a.leaving {
 		a.leaving, change = true, leavingSaid
 	}
+	if until := now.Add(s.Pause); s.Pause > 0 && until.After(a.pausedUntil) {
+		a.pausedUntil = until
+	}
 	switch {
 	case s.Limited:
 		if a.limit.hear(now, s.RequestLimit, entries(), random) {
@@ -65,7 +73,7 @@
 
 // allows reports whether the endpoint takes a request of this entry now.
 func (a *admission) allows(now time.Time, entries func() int) bool {
-	return !a.leaving && (!a.limit.named || a.limit.allows(now, entries()))
+	return !a.leaving && !now.Before(a.pausedUntil) && (!a.limit.named || a.limit.allows(now, entries()))
 }
 
 // take counts a request of this entry.
@@ -78,12 +86,16 @@
 // nextRequest returns when the endpoint takes another request. ok is false where it
 // names no time.
 func (a *admission) nextRequest() (at time.Time, ok bool) {
-	return a.limit.next, !a.leaving && a.limit.named
+	at = a.pausedUntil
+	if a.limit.named && a.limit.next.After(at) {
+		at = a.limit.next
+	}
+	return at, !a.leaving && !at.IsZero()
 }
 
 // holds reports whether anything of what the endpoint has said is still to be kept.
 func (a *admission) holds(now time.Time) bool {
-	return a.leaving || a.limit.named && now.Sub(a.limit.heard) <= limitMemory
+	return a.leaving || now.Before(a.pausedUntil) || a.limit.named && now.Sub(a.limit.heard) <= limitMemory
 }
 
 // Heard takes what an endpoint says of itself in the answer to a request that was sent
