--- /dev/null
+++ b/proof/platform_engine_test.go
@@ -0,0 +1,247 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"ebonyreel/clock"
+	"ebonyreel/standin/ports"
+)
+
+const (
+	// platformDowntime is how long a crashed engine is gone, and platformCrashDelay how
+	// long it runs a call with a crashing part.
+	platformDowntime   = 3 * time.Second
+	platformCrashDelay = 115 * time.Millisecond
+	// platformRenewal is the time between two announcements of an engine.
+	platformRenewal = 400 * time.Millisecond
+	// platformEvents is the number of events in an answer, and platformGap the time
+	// between two of them.
+	platformEvents = 10
+	platformGap    = 100 * time.Millisecond
+	// crashingPartID is the part of a prompt on which engines crash.
+	crashingPartID = "bad"
+)
+
+// platformEngines are the engines of a test on the users' platform, and what they saw.
+type platformEngines struct {
+	t        *testing.T
+	controls []netip.AddrPort
+
+	mu     sync.Mutex
+	starts int
+	// crashes and reached are when an engine crashed, and when a call with the crashing
+	// part reached an engine.
+	crashes, reached []time.Time
+}
+
+// announcedEndpoint is what one start of an endpoint announces of itself.
+type announcedEndpoint struct {
+	service string
+	name    string
+	address netip.AddrPort
+	born    time.Time
+	// stage is empty for a plain service.
+	stage string
+	// seq is the number of the last announcement.
+	seq uint64
+}
+
+// platformEngine is one start of an engine. It speaks the protocol of the platform.
+type platformEngine struct {
+	engines *platformEngines
+	server  *http.Server
+	stop    context.CancelFunc
+
+	// mu guards the stage.
+	mu sync.Mutex
+	announcedEndpoint
+}
+
+// start starts an engine at an address until the context ends.
+func (p *platformEngines) start(ctx context.Context, address netip.AddrPort, stage string) {
+	p.mu.Lock()
+	p.starts++
+	e := &platformEngine{engines: p, announcedEndpoint: announcedEndpoint{
+		service: "engines", name: fmt.Sprintf("i-%d", p.starts), address: address, born: time.Now(), stage: stage,
+	}}
+	p.mu.Unlock()
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		p.t.Error(err)
+		return
+	}
+	running, stop := context.WithCancel(ctx)
+	e.stop, e.server = stop, &http.Server{Handler: e, ReadHeaderTimeout: time.Second}
+	go func() { _ = e.server.Serve(l) }()
+	go func() {
+		for n := 0; ; n++ {
+			a := e.announcedEndpoint
+			a.seq, a.stage = uint64(n), e.currentStage()
+			a.announce(running, p.t, p.controls[n%len(p.controls)])
+			if !clock.Sleep(running, platformRenewal) {
+				_ = e.server.Close()
+				return
+			}
+		}
+	}()
+}
+
+// announce sends one announcement to a control host. A failure is made up for by the
+// next one.
+func (e *announcedEndpoint) announce(ctx context.Context, t *testing.T, to netip.AddrPort) {
+	e.seq++
+	b, err := json.Marshal(map[string]any{
+		"service": e.service, "address": e.address.String(), "zone": "osu", "version": "v1", "slots": 12, "state": "ready", "coldLeftMs": 0,
+		"stage": e.stage, "models": []any{}, "seq": e.seq, "born": e.born.UnixMilli(),
+	})
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPut, fmt.Sprintf("http://%s/instances/%s", to, e.name), bytes.NewReader(b))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	if res, err := http.DefaultClient.Do(r); err == nil {
+		_ = res.Body.Close()
+	}
+}
+
+// crash breaks all connections, and starts the engine under another name later.
+func (e *platformEngine) crash() {
+	p := e.engines
+	p.mu.Lock()
+	p.crashes = append(p.crashes, time.Now())
+	p.mu.Unlock()
+	e.stop()
+	_ = e.server.Close()
+	time.AfterFunc(platformDowntime, func() {
+		if p.t.Context().Err() == nil {
+			p.start(p.t.Context(), e.address, e.currentStage())
+		}
+	})
+}
+
+func (e *platformEngine) currentStage() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stage
+}
+
+// ServeHTTP serves orders, reservations and calls.
+func (e *platformEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+	switch {
+	case r.Header.Get("X-Expect-Instance") != e.name:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case r.URL.Path == "/hold-take":
+		e.reply(w, map[string]any{"hold": fmt.Sprint("h-", time.Now().UnixNano())})
+	case r.URL.Path == "/order":
+		var order struct{ Stage string }
+		if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		e.mu.Lock()
+		e.stage = order.Stage
+		e.mu.Unlock()
+		w.WriteHeader(http.StatusAccepted)
+	case r.Method == http.MethodDelete:
+		w.WriteHeader(http.StatusOK)
+	default:
+		e.call(w, r)
+	}
+}
+
+func (e *platformEngine) reply(w http.ResponseWriter, v any) {
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		e.engines.t.Log(err)
+	}
+}
+
+// call serves a prefill or an answer.
+func (e *platformEngine) call(w http.ResponseWriter, r *http.Request) {
+	bad := strings.Contains(r.Header.Get("X-Prompt-Prefix"), crashingPartID+":")
+	if bad {
+		e.engines.mu.Lock()
+		e.engines.reached = append(e.engines.reached, time.Now())
+		e.engines.mu.Unlock()
+	}
+	if r.Header.Get("X-Stage") == "prefill" {
+		clock.Sleep(r.Context(), platformGap/2)
+		e.reply(w, map[string]any{"kvHandle": fmt.Sprint("k-", time.Now().UnixNano()), "tokens": 3000, "version": 1})
+		return
+	}
+	w.Header().Set("X-Server-Seal", "seal")
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w).Flush
+	if err := flush(); err != nil {
+		return
+	}
+	if bad {
+		if clock.Sleep(r.Context(), platformCrashDelay) {
+			e.crash()
+		}
+		panic(http.ErrAbortHandler)
+	}
+	for i := range platformEvents {
+		if !clock.Sleep(r.Context(), platformGap) {
+			return
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", i); err != nil {
+			return
+		}
+		if err := flush(); err != nil {
+			return
+		}
+	}
+}
+
+// platformCall makes a call to an entry, with parts of its prompt, and reports whether
+// its stream began and how it ended.
+func platformCall(ctx context.Context, entry *process, id string, parts ...string) (begun bool, status int) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.address.String()+"/letters/1", strings.NewReader(id))
+	if err != nil {
+		return false, 0
+	}
+	r.Host = "desk.example"
+	r.Header.Set("X-Attempt-Id", id)
+	r.Header.Set("X-Deadline-Ms", "14000")
+	r.Header.Set("X-Model", "m")
+	r.Header.Set("X-Token-Count", "3000,100")
+	r.Header.Set("X-Prompt-Prefix", strings.Join(append(parts, id), ":100,")+":100")
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false, 0
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, _ := io.ReadAll(res.Body)
+	return res.StatusCode == http.StatusOK && strings.Contains(string(b), "id: 0\n"), res.StatusCode
+}
+
+// newPlatformEngines starts decode and prefill engines that announce themselves to
+// control hosts.
+func newPlatformEngines(t *testing.T, controls []netip.AddrPort, decode, prefill int) *platformEngines {
+	t.Helper()
+	p := &platformEngines{t: t, controls: controls}
+	for i := range decode + prefill {
+		stage := "decode"
+		if i >= decode {
+			stage = "prefill"
+		}
+		p.start(t.Context(), ports.Free(), stage)
+	}
+	return p
+}
--- /dev/null
+++ b/proof/platform_test.go
@@ -0,0 +1,181 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"ebonyreel/clock"
+	"ebonyreel/document"
+	"ebonyreel/settings"
+	"ebonyreel/standin/ports"
+)
+
+const (
+	// platformLength is how long calls are made, and the crashing ones come between
+	// platformCrashFrom and the end.
+	platformLength    = 24 * time.Second
+	platformCrashFrom = 3 * time.Second
+	// platformKills is when the leader of the control hosts and an entry are killed.
+	platformKills = 11 * time.Second
+	// The bounds: crashesBeforeBound crashes, then crashBound later at most lateCalls
+	// calls, and soundBound later at least half of the sound calls begin.
+	crashesBeforeBound = 5
+	crashBound         = 3 * time.Second
+	lateCalls          = 3
+	soundBound         = 6 * time.Second
+)
+
+// platformConfiguration is the configuration of a pool of engines and a plain service.
+const platformConfiguration = `{"version":5,"routes":[{"name":"letters","host":"desk.example","pathPrefix":"/letters/","kind":"streaming",` +
+	`"timeoutMs":14000,"targetLatencyMs":900,"targetGapMs":300,"maxAttempts":2,"priority":1,"sticky":true,"resumable":true,"service":"engines"},` +
+	`{"name":"lookups","host":"desk.example","pathPrefix":"/desk/","kind":"non_idempotent","timeoutMs":2500,"targetLatencyMs":500,"maxAttempts":1,` +
+	`"service":"desk"}],` +
+	`"services":[{"name":"engines","maxConns":150,"engine":{"slots":12,"kvCapacity":33466,"kvHoldS":0.5,"holdMs":2000,"stride":11}},` +
+	`{"name":"desk","maxConns":96}],` +
+	`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+
+// TestPlatformCrashingPart guards against calls that share one crashing part of their
+// prompts and end one engine after the other, with the real programs on the users'
+// platform. The leader of the control hosts and an entry are killed once the part is
+// known, and must not forget it.
+func TestPlatformCrashingPart(t *testing.T) {
+	c := newCluster(t, "production")
+	h := startPlatformHosts(c)
+	putPlatformConfiguration(t, h)
+	engines := newPlatformEngines(t, c.controls, 8, 4)
+	var entries []*process
+	for i := range 4 {
+		entries = append(entries, startPlatformEntry(c, fmt.Sprintf("entry-%d", i)))
+	}
+	for _, e := range entries {
+		eventually(t, 15*time.Second, e.name+" serves", func() bool {
+			begun, _ := platformCall(t.Context(), e, "warm-"+e.name+fmt.Sprint(time.Now().UnixNano()), "warm")
+			return begun
+		})
+	}
+	start := time.Now()
+	var mu sync.Mutex
+	var sound []soundCall
+	var done sync.WaitGroup
+	offer := func(from, interval time.Duration, call func(n int)) {
+		done.Go(func() {
+			clock.Sleep(t.Context(), from)
+			for n := 0; time.Since(start) < platformLength; n++ {
+				done.Go(func() { call(n) })
+				clock.Sleep(t.Context(), interval)
+			}
+		})
+	}
+	// The last entry is killed, so that its callers are not counted.
+	offer(0, 150*time.Millisecond, func(n int) {
+		sent := time.Now()
+		begun, _ := platformCall(t.Context(), entries[n%3], fmt.Sprint("sound-", n), "first")
+		mu.Lock()
+		defer mu.Unlock()
+		sound = append(sound, soundCall{sent: sent, begun: begun})
+	})
+	offer(platformCrashFrom, 200*time.Millisecond, func(n int) {
+		platformCall(t.Context(), entries[n%4], fmt.Sprint("crashing-", n), "first", crashingPartID)
+	})
+	done.Go(func() {
+		clock.Sleep(t.Context(), platformKills)
+		leader := h.processes[h.leader()]
+		leader.kill()
+		entries[3].kill()
+		clock.Sleep(t.Context(), time.Second)
+		c.launch(leader)
+		c.launch(entries[3])
+	})
+	done.Wait()
+	checkPartCrashes(t, engines, sound)
+}
+
+// soundCall is a call without the crashing part. begun is true where its stream began.
+type soundCall struct {
+	sent  time.Time
+	begun bool
+}
+
+// checkPartCrashes checks the bounds on calls with the crashing part and on sound ones.
+func checkPartCrashes(t *testing.T, engines *platformEngines, sound []soundCall) {
+	t.Helper()
+	engines.mu.Lock()
+	defer engines.mu.Unlock()
+	if len(engines.crashes) == 0 {
+		t.Fatal("no engine crashed")
+	}
+	bound := engines.crashes[min(crashesBeforeBound, len(engines.crashes))-1]
+	late := 0
+	for _, at := range engines.reached {
+		if len(engines.crashes) >= crashesBeforeBound && at.Sub(bound) > crashBound {
+			late++
+		}
+	}
+	begun, all := 0, 0
+	for _, s := range sound {
+		if s.sent.Sub(bound) > soundBound {
+			all++
+			if s.begun {
+				begun++
+			}
+		}
+	}
+	t.Logf("%d crashes, %d calls beyond the bound, %d of %d sound calls begin", len(engines.crashes), late, begun, all)
+	if late > lateCalls {
+		t.Errorf("%d calls with the crashing part reached engines later than %s after crash %d, %d allowed", late, crashBound, crashesBeforeBound, lateCalls)
+	}
+	if 2*begun < all || all == 0 {
+		t.Errorf("%d of %d sound calls begin", begun, all)
+	}
+}
+
+// startPlatformHosts starts three control hosts that find each other through seeds.
+func startPlatformHosts(c *cluster) *hosts {
+	c.t.Helper()
+	h := &hosts{cluster: c}
+	var seeds []netip.AddrPort
+	for i := range 3 {
+		h.processes = append(h.processes, &process{name: fmt.Sprintf("control-%d", i), program: "control", address: ports.Free(), operators: ports.Free()})
+		seeds = append(seeds, h.processes[i].address)
+	}
+	for _, p := range h.processes {
+		c.start(p, seedSettings(c, p, seeds, true))
+	}
+	c.controls = seeds
+	eventually(c.t, 15*time.Second, "all hosts are voters", func() bool { return len(h.status(h.leader()).Servers) == 3 })
+	return h
+}
+
+func startPlatformEntry(c *cluster, name string) *process {
+	c.t.Helper()
+	p := &process{name: name, program: "entry", address: ports.Free(), operators: ports.Free()}
+	return c.start(p, settings.Entry{
+		Name: name, Environment: c.environment, FailureDomain: "osu", Callers: p.address, Operators: p.operators, Controls: c.controls,
+		Policy: "reserve", Protocol: settings.Platform, RetryBudget: settings.RetryBudget{Ratio: 0.2, Slack: 52, Window: document.Duration(10 * time.Second)},
+	})
+}
+
+// putPlatformConfiguration sends the configuration until it is acknowledged.
+func putPlatformConfiguration(t *testing.T, h *hosts) {
+	t.Helper()
+	eventually(t, 10*time.Second, "the configuration is acknowledged", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		r, err := http.NewRequestWithContext(ctx, http.MethodPut, h.configurationURL(0), bytes.NewReader([]byte(platformConfiguration)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := http.DefaultClient.Do(r)
+		if err != nil {
+			return false
+		}
+		_ = res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	})
+}
