End a silent stream only once the engine of its retry has begun

Cause: a retry ended the attempt that it replaces before its own engine had begun.

Change: where a stream that was flowing falls silent, the retry is sent while the first attempt is open. The first is ended once the second engine has answered with a stream; if that engine turns the call away or fails, the first goes on. An event of the first ends the retry. What crashes the second engine counts as any crash. Calls without an event so far are retried as before.

Evidence: TestSilentStreamWithoutRetry failed each time before and passes now; all scripts of TestServe pass unchanged, and the package under the race detector.

--- /dev/null
+++ b/relay/begun_attempt.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"context"
+	"errors"
+
+	"ebonyreel/transport"
+)
+
+// begunAttempt is an attempt whose engine has begun to answer, while the attempt that it
+// replaces is still open.
+type begunAttempt struct {
+	attempt Attempt
+	reply   *Reply
+	// cancel ends the attempt.
+	cancel context.CancelFunc
+}
+
+// beginRetry sends a call to the engine where memory is prepared for it, and waits until
+// the engine begins or the context ends. It reports whether the engine did. The call's
+// own context bounds the attempt.
+func (r *Relay) beginRetry(ctx, callContext context.Context, cs *callState) bool {
+	s := *cs.prepared
+	t, err := r.prepareAttempt(ctx, cs, s)
+	var reply *Reply
+	sendContext, cancel := context.WithCancel(callContext)
+	if err == nil {
+		keep := context.AfterFunc(ctx, cancel)
+		r.tracker.take(t.Endpoint.key(), r.fleet.Entries)
+		reply, err = r.sendRetry(sendContext, cs, t)
+		if !keep() && err == nil {
+			_ = reply.Body.Close()
+			err = ctx.Err()
+		}
+	}
+	if err == nil {
+		cs.begun = &begunAttempt{attempt: t, reply: reply, cancel: cancel}
+		return true
+	}
+	cancel()
+	result := resultOf(ctx, err)
+	r.tracker.end(s.endpoint, result, 0, float64(s.tokens))
+	r.endRun(cs, s, result == resultFailed || result == resultUnreachable)
+	r.recordFailure(cs, s.endpoint, err)
+	go r.releaseMemory(t)
+	if suggestsCrash(err) {
+		r.reportCrashAt(cs, t.Endpoint)
+	}
+	cs.prepared = nil
+	return false
+}
+
+// sendRetry sends an attempt and returns its answer where that is a stream.
+func (r *Relay) sendRetry(ctx context.Context, cs *callState, t Attempt) (*Reply, error) {
+	cs.attempted[t.Endpoint.Name] = true
+	reply, err := r.sender.Send(ctx, cs.call, t)
+	var dialErr *transport.DialError
+	if !errors.As(err, &dialErr) {
+		cs.sent++
+	}
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case reply.NotRun || reply.Misdirected:
+		err = &NotRunError{Status: reply.Status, RetryAfter: reply.RetryAfter, Misdirected: reply.Misdirected}
+	case !reply.Events:
+		err = &StatusError{Status: reply.Status}
+	}
+	if err != nil {
+		_ = reply.Body.Close()
+		return nil, err
+	}
+	return reply, nil
+}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -65,6 +65,10 @@
 			}
 			continue
 		}
+		if monitor.stop(); monitor.stall != nil {
+			// Another engine has begun after the event before this one.
+			return latency, monitor.stall
+		}
 		if len(comments) > 0 {
 			event, comments = append(comments, event...), nil
 		}
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -129,20 +129,15 @@
 	}
 	reserved := time.Now()
 	defer r.metrics.memoryReserved(cs.pool.Name, s.tokens)()
-	var h Handle
-	err = r.recheckParts(cs)
-	// A trial uses one engine only.
-	if err == nil && cs.trial == nil && r.usesPrefillEngine(ctx, cs) {
-		h = r.prefill(ctx, cs, s.prefillEngine)
-		r.endPrefill(cs, s, h.At.Name != s.prefillEngine)
-		err = r.recheckParts(cs)
+	var t Attempt
+	if b := cs.begun; b != nil {
+		t = b.attempt
+	} else if t, err = r.prepareAttempt(ctx, cs, s); err == nil {
+		r.tracker.take(t.Endpoint.key(), r.fleet.Entries)
 	}
 	start := time.Now()
-	t := r.newAttempt(cs, s.endpoint)
-	t.Source, t.ReservationID = h, s.id
 	var latency time.Duration
 	if err == nil {
-		r.tracker.take(t.Endpoint.key(), r.fleet.Entries)
 		latency, err = r.send(ctx, cs, t, start)
 	}
 	if latency > 0 {
@@ -154,7 +149,7 @@
 	result := resultOf(ctx, err)
 	r.tracker.end(s.endpoint, result, latency, float64(s.tokens))
 	r.endRun(cs, s, result == resultFailed || result == resultUnreachable)
-	if h.ID != "" {
+	if t.Source.ID != "" {
 		r.metrics.promptPrefilled(cs.call.Prompt.Tokens, latency > 0)
 	}
 	if err != nil {
@@ -164,6 +159,22 @@
 	return err
 }
 
+// prepareAttempt returns an attempt with reserved memory, after the prompt was computed
+// by a prefill engine where one is used. The error is a *CrashingPartError.
+func (r *Relay) prepareAttempt(ctx context.Context, cs *callState, s reservation) (Attempt, error) {
+	var h Handle
+	err := r.recheckParts(cs)
+	// A trial uses one engine only.
+	if err == nil && cs.trial == nil && r.usesPrefillEngine(ctx, cs) {
+		h = r.prefill(ctx, cs, s.prefillEngine)
+		r.endPrefill(cs, s, h.At.Name != s.prefillEngine)
+		err = r.recheckParts(cs)
+	}
+	t := r.newAttempt(cs, s.endpoint)
+	t.Source, t.ReservationID = h, s.id
+	return t, err
+}
+
 // recordDemand records a call as demand of its pool, once.
 func (r *Relay) recordDemand(cs *callState) {
 	if cs.demandRecorded {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -137,9 +137,11 @@
 	dialFailures int
 	// endpoint is the endpoint of the current or last attempt.
 	endpoint Endpoint
-	// prepared is memory reserved for the next attempt, or nil. budgetCharged is true
-	// where the next attempt is already charged to the retry budget.
+	// prepared is memory reserved for the next attempt, or nil, and begun is that attempt
+	// where its endpoint has begun it. budgetCharged is true where the next attempt is
+	// already charged to the retry budget.
 	prepared      *reservation
+	begun         *begunAttempt
 	budgetCharged bool
 	// mayHaveRun is true once an endpoint may have run the call.
 	mayHaveRun bool
@@ -422,14 +424,18 @@
 // send makes one attempt, and cancels it where the endpoint stalls and another
 // attempt is prepared. It returns the time until the answer or its first event.
 func (r *Relay) send(ctx context.Context, cs *callState, t Attempt, start time.Time) (time.Duration, error) {
+	callContext := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	cs.attempted[t.Endpoint.Name], cs.endpoint, cs.attemptEvents = true, t.Endpoint, 0
-	monitor := newStallMonitor(ctx, cancel, r.stallTimeout(cs), cs.started, func(ctx context.Context, idle time.Duration, started bool) bool {
-		lastSent := time.Now().Add(-idle)
-		return r.prepareRetry(ctx, cs, memoryRequest{lastSent: lastSent, dueBy: lastSent.Add(time.Duration(cs.route.Target)), started: started})
+	timeout, begun := r.stallTimeout(cs), cs.begun
+	cs.begun = nil
+	monitor := newStallMonitor(ctx, cancel, timeout, cs.started, func(ctx context.Context, s stalledAttempt) bool {
+		lastSent := time.Now().Add(-s.idle)
+		m := memoryRequest{lastSent: lastSent, dueBy: lastSent.Add(time.Duration(cs.route.Target)), started: s.started}
+		return r.prepareRetry(ctx, callContext, cs, m, s.flowing)
 	})
-	latency, err := r.exchange(ctx, cs, t, monitor, start)
+	latency, err := r.exchange(ctx, cs, t, begun, monitor, start)
 	monitor.stop()
 	if err = stallCause(ctx, err); err == nil || monitor.stall == nil {
 		r.cancelRetry(cs)
@@ -438,10 +444,12 @@
 }
 
 // prepareRetry prepares another attempt of a call whose endpoint has stalled: it
-// charges the retry budget and, for model engines, reserves memory. It reports
-// whether both succeeded.
-func (r *Relay) prepareRetry(ctx context.Context, cs *callState, m memoryRequest) bool {
-	if !r.chargeRetry(cs, retryFailed) {
+// charges the retry budget and, for model engines, reserves memory. A stream that was
+// flowing goes on elsewhere only once that engine has begun, as it may turn the call
+// away in spite of the reservation. It reports whether all succeeded.
+func (r *Relay) prepareRetry(ctx, callContext context.Context, cs *callState, m memoryRequest, flowing bool) bool {
+	r.cancelRetry(cs)
+	if flowing && cs.sent >= cs.route.Attempts || !r.chargeRetry(cs, retryFailed) {
 		return false
 	}
 	if cs.reservesMemory() {
@@ -450,6 +458,9 @@
 			return false
 		}
 		cs.prepared = &s
+		if flowing && !r.beginRetry(ctx, callContext, cs) {
+			return false
+		}
 	}
 	cs.budgetCharged = true
 	return true
@@ -463,20 +474,18 @@
 		r.endRun(cs, *s, false)
 		go r.releaseMemory(Attempt{Endpoint: endpointOf(s.endpoint), ReservationID: s.id})
 	}
-	cs.prepared, cs.budgetCharged = nil, false
+	if b := cs.begun; b != nil {
+		b.cancel()
+		_ = b.reply.Body.Close()
+	}
+	cs.prepared, cs.begun, cs.budgetCharged = nil, nil, false
 }
 
-// exchange sends a call and forwards the answer. It returns the time until the
+// exchange sends a call, unless its attempt has begun, and forwards the answer. It returns the time until the
 // answer or its first event.
-func (r *Relay) exchange(ctx context.Context, cs *callState, t Attempt, monitor *stallMonitor, start time.Time) (time.Duration, error) {
-	reply, err := r.sender.Send(ctx, cs.call, t)
-	var dialErr *transport.DialError
-	if errors.As(err, &dialErr) {
-		return 0, err
-	}
-	cs.sent++
+func (r *Relay) exchange(ctx context.Context, cs *callState, t Attempt, begun *begunAttempt, monitor *stallMonitor, start time.Time) (time.Duration, error) {
+	reply, err := r.reply(ctx, cs, t, begun)
 	if err != nil {
-		cs.mayHaveRun = true
 		return 0, err
 	}
 	defer func() { _ = reply.Body.Close() }()
@@ -490,10 +499,32 @@
 	return r.forwardAnswer(cs, reply, start)
 }
 
+// reply returns the head of the answer to an attempt, which may have begun before.
+func (r *Relay) reply(ctx context.Context, cs *callState, t Attempt, begun *begunAttempt) (*Reply, error) {
+	if begun != nil {
+		context.AfterFunc(ctx, begun.cancel)
+		return begun.reply, nil
+	}
+	reply, err := r.sender.Send(ctx, cs.call, t)
+	var dialErr *transport.DialError
+	if errors.As(err, &dialErr) {
+		return nil, err
+	}
+	cs.sent++
+	if err != nil {
+		cs.mayHaveRun = true
+	}
+	return reply, err
+}
+
 // stallTimeout returns how long an endpoint may send nothing before the call is
 // sent to another one; zero where it can't be sent again.
 func (r *Relay) stallTimeout(cs *callState) time.Duration {
-	if !cs.route.Repeatable() || cs.sent+1 >= cs.route.Attempts {
+	attempts := cs.sent + 1
+	if cs.begun != nil {
+		attempts = cs.sent
+	}
+	if !cs.route.Repeatable() || attempts >= cs.route.Attempts {
 		return 0
 	}
 	return max(stallTargets*time.Duration(cs.route.Target), time.Until(cs.deadline)/3)
--- a/relay/stall_monitor.go
+++ b/relay/stall_monitor.go
@@ -12,11 +12,12 @@
 	// attemptContext is the context of the attempt, and cancel ends it.
 	attemptContext context.Context
 	cancel         context.CancelCauseFunc
-	// prepareRetry prepares another attempt, given the time since the last event and
-	// whether the caller has received events. It reports whether there is one.
-	prepareRetry func(ctx context.Context, idle time.Duration, started bool) bool
-	// started is true once the caller has received events.
+	// prepareRetry prepares another attempt. It reports whether there is one.
+	prepareRetry func(context.Context, stalledAttempt) bool
+	// started is true once the caller has received events, and flowing once it has
+	// received one of this attempt.
 	started bool
+	flowing bool
 	// enabled is false where the call can't be sent again.
 	enabled bool
 	timer   *time.Timer
@@ -27,11 +28,20 @@
 	stall *StallError
 }
 
+// stalledAttempt is an attempt whose endpoint has sent nothing for the time idle. started
+// is true where the caller has received events, and flowing where it received some of
+// this attempt.
+type stalledAttempt struct {
+	idle    time.Duration
+	started bool
+	flowing bool
+}
+
 // newStallMonitor starts a monitor of the attempt in ctx. A timeout of zero disables
 // it.
 func newStallMonitor(
 	ctx context.Context, cancel context.CancelCauseFunc, timeout time.Duration, started bool,
-	prepareRetry func(context.Context, time.Duration, bool) bool,
+	prepareRetry func(context.Context, stalledAttempt) bool,
 ) *stallMonitor {
 	m := &stallMonitor{attemptContext: ctx, cancel: cancel, prepareRetry: prepareRetry, started: started, enabled: timeout > 0}
 	m.start(timeout)
@@ -45,10 +55,10 @@
 	ctx, stopPreparing := context.WithCancel(m.attemptContext)
 	done := make(chan struct{})
 	m.stopPreparing, m.done = stopPreparing, done
-	started := m.started
+	stalled := stalledAttempt{idle: timeout, started: m.started, flowing: m.flowing}
 	m.timer = time.AfterFunc(timeout, func() {
 		defer close(done)
-		if m.prepareRetry(ctx, timeout, started) && ctx.Err() == nil {
+		if m.prepareRetry(ctx, stalled) && ctx.Err() == nil {
 			m.stall = &StallError{After: timeout}
 			m.cancel(m.stall)
 		}
@@ -58,7 +68,7 @@
 // reset restarts the timer with another timeout, after an event.
 func (m *stallMonitor) reset(timeout time.Duration) {
 	m.stop()
-	m.started = true
+	m.started, m.flowing = true, true
 	m.start(timeout)
 }
 
--- a/relay/strike.go
+++ b/relay/strike.go
@@ -82,8 +82,13 @@
 
 // reportCrash queues a crash report for a call without blocking, with its trial.
 func (r *Relay) reportCrash(cs *callState) {
+	r.reportCrashAt(cs, cs.endpoint)
+}
+
+// reportCrashAt queues a crash report for a call at an endpoint.
+func (r *Relay) reportCrashAt(cs *callState, at Endpoint) {
 	c := crashReport{
-		request: cs.call.ID, digest: cs.call.digest(), endpoint: cs.endpoint, parts: cs.call.Prompt.sharedParts(), began: cs.attemptEvents > 0,
+		request: cs.call.ID, digest: cs.call.digest(), endpoint: at, parts: cs.call.Prompt.sharedParts(), began: cs.attemptEvents > 0,
 		trial: cs.trial,
 	}
 	if !cs.sound {
