--- a/relay/relay.go
+++ b/relay/relay.go
@@ -446,7 +446,8 @@
 // prepareRetry prepares another attempt of a call whose endpoint has stalled: it
 // charges the retry budget and, for model engines, reserves memory. A stream that was
 // flowing goes on elsewhere only once that engine has begun, as it may turn the call
-// away in spite of the reservation. It reports whether all succeeded.
+// away in spite of the reservation. That attempt lives in callContext, the context of the
+// call. It reports whether all succeeded.
 func (r *Relay) prepareRetry(ctx, callContext context.Context, cs *callState, m memoryRequest, flowing bool) bool {
 	r.cancelRetry(cs)
 	if flowing && cs.sent >= cs.route.Attempts || !r.chargeRetry(cs, retryFailed) {
@@ -481,8 +482,8 @@
 	cs.prepared, cs.begun, cs.budgetCharged = nil, nil, false
 }
 
-// exchange sends a call, unless its attempt has begun, and forwards the answer. It returns the time until the
-// answer or its first event.
+// exchange sends a call, unless its attempt has begun, and forwards the answer. It
+// returns the time until the answer or its first event.
 func (r *Relay) exchange(ctx context.Context, cs *callState, t Attempt, begun *begunAttempt, monitor *stallMonitor, start time.Time) (time.Duration, error) {
 	reply, err := r.reply(ctx, cs, t, begun)
 	if err != nil {
