--- a/proof/control_seeds_test.go
+++ b/proof/control_seeds_test.go
@@ -70,11 +70,18 @@
 	return s
 }
 
-// putConfiguration sends a configuration to a host until it is acknowledged.
+// putConfiguration sends a configuration of some version to a host until it is
+// acknowledged.
 func (h *hosts) putConfiguration(t *testing.T, i, version int) {
 	t.Helper()
-	eventually(t, 10*time.Second, fmt.Sprintf("configuration %d is acknowledged", version), func() bool {
-		r, err := http.NewRequestWithContext(t.Context(), http.MethodPut, h.configurationURL(i), bytes.NewReader(configuration(version)))
+	h.putConfigurationBody(t, i, configuration(version))
+}
+
+// putConfigurationBody sends a configuration to a host until it is acknowledged.
+func (h *hosts) putConfigurationBody(t *testing.T, i int, body []byte) {
+	t.Helper()
+	eventually(t, 10*time.Second, "the configuration is acknowledged", func() bool {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPut, h.configurationURL(i), bytes.NewReader(body))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/proof/platform_limit_test.go
+++ b/proof/platform_limit_test.go
@@ -70,7 +70,7 @@
 func TestPlatformLimitShared(t *testing.T) {
 	c := newCluster(t, "production")
 	h := startPlatformHosts(c)
-	putPlatformConfiguration(t, h)
+	h.putConfigurationBody(t, 0, []byte(platformConfiguration))
 	services := []*limitedService{{name: "i-1", limited: true}, {name: "i-2"}}
 	for _, l := range services {
 		startLimitedService(t, l, c.controls)
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -1,10 +1,7 @@
 package proof
 
 import (
-	"bytes"
-	"context"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"sync"
 	"testing"
@@ -47,7 +44,7 @@
 func TestPlatformCrashingPart(t *testing.T) {
 	c := newCluster(t, "production")
 	h := startPlatformHosts(c)
-	putPlatformConfiguration(t, h)
+	h.putConfigurationBody(t, 0, []byte(platformConfiguration))
 	engines := newPlatformEngines(t, c.controls, 8, 4)
 	var entries []*process
 	for i := range 4 {
@@ -160,22 +157,3 @@
 		Policy: "reserve", Protocol: settings.Platform, RetryBudget: settings.RetryBudget{Ratio: 0.2, Slack: 52, Window: document.Duration(10 * time.Second)},
 	})
 }
-
-// putPlatformConfiguration sends the configuration until it is acknowledged.
-func putPlatformConfiguration(t *testing.T, h *hosts) {
-	t.Helper()
-	eventually(t, 10*time.Second, "the configuration is acknowledged", func() bool {
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		defer cancel()
-		r, err := http.NewRequestWithContext(ctx, http.MethodPut, h.configurationURL(0), bytes.NewReader([]byte(platformConfiguration)))
-		if err != nil {
-			t.Fatal(err)
-		}
-		res, err := http.DefaultClient.Do(r)
-		if err != nil {
-			return false
-		}
-		_ = res.Body.Close()
-		return res.StatusCode == http.StatusOK
-	})
-}
--- a/relay/part.go
+++ b/relay/part.go
@@ -193,7 +193,7 @@
 	return trial, &CrashingPartError{Parts: trial, RetryAfter: wait}
 }
 
-// explains reports whether a part or its companions are all suspects of a call.
+// explains reports whether all suspects of a call are a part and its companions.
 func explains(digest string, companions []string, suspects map[string][]string) bool {
 	for d := range suspects {
 		if d != digest && !slices.Contains(companions, d) {
--- a/state/part.go
+++ b/state/part.go
@@ -80,9 +80,8 @@
 	return free && !s.GetSound() && s.GetFailedTrials() < maxFailedTrials && !now.Before(s.GetTrialAt().AsTime())
 }
 
-// tryParts gives the trial of all parts of a request to its owner, if each of them may
-// be tried. It reports whether it did.
-func (s *State) tryParts(now time.Time, r *controlv1.AddStrikesRequest) bool {
+// mayTryAll reports whether a trial of all parts of a request may begin.
+func (s *State) mayTryAll(now time.Time, r *controlv1.AddStrikesRequest) bool {
 	for _, digest := range r.GetContentDigests() {
 		if !mayTry(now, s.items[strikePrefix(r.GetEnvironment())+digest].GetStrikes()) {
 			return false
--- a/state/strike.go
+++ b/state/strike.go
@@ -27,7 +27,7 @@
 func (s *State) addStrikes(now time.Time, r *controlv1.AddStrikesRequest) (proto.Message, error) {
 	s.pruneStrikes(now, r.GetEnvironment())
 	out := &controlv1.AddStrikesResponse{}
-	if r.GetChange() == controlv1.StrikeChange_STRIKE_CHANGE_TRY && !s.tryParts(now, r) {
+	if r.GetChange() == controlv1.StrikeChange_STRIKE_CHANGE_TRY && !s.mayTryAll(now, r) {
 		return out, nil
 	}
 	for _, digest := range r.GetContentDigests() {
