Read answers into their buffer instead of copying them there

A profile shows two thirds of it in the detector's checks of the bytes that are read and then copied; without the detector it takes 0.08 s.

Change: an answer is read into its own buffer. Test and bound are unchanged.

--- a/relay/answer_reader.go
+++ b/relay/answer_reader.go
@@ -1,10 +1,10 @@
 package relay
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync/atomic"
 )
 
@@ -40,21 +40,20 @@
 // read reads an answer to its end. The returned function must be called once the
 // answer is sent. The error is an *AnswerTooLongError where no memory is left.
 func (a *answerReader) read(r io.Reader) (body []byte, release func(), err error) {
-	var out bytes.Buffer
 	taken := int64(0)
 	release = func() { a.shared.Add(-taken) }
-	chunk := make([]byte, answerChunkBytes)
 	for {
-		n, err := r.Read(chunk)
-		if out.Len()+n > freeAnswerBytes {
+		body = slices.Grow(body, answerChunkBytes)
+		n, err := r.Read(body[len(body) : len(body)+answerChunkBytes])
+		if len(body)+n > freeAnswerBytes {
 			taken += int64(n)
 			if a.shared.Add(int64(n)) > maxSharedBytes {
-				return nil, release, &AnswerTooLongError{Read: out.Len()}
+				return nil, release, &AnswerTooLongError{Read: len(body)}
 			}
 		}
-		out.Write(chunk[:n])
+		body = body[:len(body)+n]
 		if errors.Is(err, io.EOF) {
-			return out.Bytes(), release, nil
+			return body, release, nil
 		}
 		if err != nil {
 			return nil, release, err
