Leave the trial of a part to calls without other struck parts

Two causes, told apart by a trace of the state. The test: its window began after the fifth crash of the last part, which may be a trial near the end, so that no sound call was in it. It judges each part by its own crashes now, needs 20 calls for it, as the users' rule does, and one such window at least. The product, found while tracing: where several crashing parts share a new first part, that part is in three crashes before any of them, and calls with a crashing part of one or two strikes were taken as its trial.

Change: a call is the trial of a part only if all its parts with strikes are that part and its companions.

Evidence: TestPartTrial fails on the code before.

--- a/relay/crashing_part_test.go
+++ b/relay/crashing_part_test.go
@@ -49,6 +49,8 @@
 	callsAllowed   = 3
 	// soundBegins is how long after the same crashes sound calls begin again.
 	soundBegins = 6 * time.Second
+	// minSoundCalls is the number of sound calls from which on their share counts.
+	minSoundCalls = 20
 )
 
 // crashingEngines are model engines that crash on one part of a prompt, on the test's
@@ -375,43 +377,55 @@
 	}
 }
 
-// lateCalls returns the largest number of calls with one crashing part that reached
-// engines too late, and when the last crash before a bound was. The bound does not begin
-// before control answers.
-func (d *crashDay) lateCalls() (int, time.Time) {
-	late, last := 0, d.strikes.answersFrom
+// bounds returns, for each crashing part, when its bound begins: at the last crash that
+// is allowed, or at the last one if there are fewer, and not before control answers.
+func (d *crashDay) bounds() map[string]time.Time {
+	out := map[string]time.Time{}
 	for part, crashes := range d.engines.crashes {
-		begins := crashes[min(crashesAllowed, len(crashes))-1]
-		if begins.Before(d.strikes.answersFrom) {
-			begins = d.strikes.answersFrom
-		}
-		if begins.After(last) {
-			last = begins
+		out[part] = crashes[min(crashesAllowed, len(crashes))-1]
+		if out[part].Before(d.strikes.answersFrom) {
+			out[part] = d.strikes.answersFrom
 		}
+	}
+	return out
+}
+
+// lateCalls returns the largest number of calls with one crashing part that reached
+// engines too late.
+func (d *crashDay) lateCalls() int {
+	late := 0
+	for part, begins := range d.bounds() {
 		n := 0
 		for _, at := range d.engines.reached[part] {
-			if len(crashes) >= crashesAllowed && at.Sub(begins) > boundAfter {
+			if len(d.engines.crashes[part]) >= crashesAllowed && at.Sub(begins) > boundAfter {
 				n++
 			}
 		}
 		late = max(late, n)
 	}
-	return late, last
-}
-
-// soundShare returns the share of the sound calls after a time that began, while
-// crashing ones were made.
-func (d *crashDay) soundShare(after time.Time) float64 {
-	begun, all := 0.0, 0.0
-	for _, s := range d.sound {
-		if s.sent.After(after) && s.sent.Before(d.crashingUntil) {
-			all++
-			if s.begun {
-				begun++
+	return late
+}
+
+// soundShare returns the least share of sound calls that begin, over the bounds of the
+// crashing parts that minSoundCalls or more came after while crashing ones were made. ok
+// is false where there is no such bound.
+func (d *crashDay) soundShare() (least float64, ok bool) {
+	least = 1
+	for _, begins := range d.bounds() {
+		begun, all := 0, 0
+		for _, s := range d.sound {
+			if s.sent.After(begins.Add(soundBegins)) && s.sent.Before(d.crashingUntil) {
+				all++
+				if s.begun {
+					begun++
+				}
 			}
 		}
+		if all >= minSoundCalls {
+			least, ok = min(least, float64(begun)/float64(all)), true
+		}
 	}
-	return begun / max(all, 1)
+	return least, ok
 }
 
 // TestCrashingPart guards against calls that crash one engine after the other: they
@@ -465,12 +479,45 @@
 			day.entries = append(day.entries, r)
 		}
 		day.play(ctx, crashing, sound, soundFrom, every)
-		var last time.Time
-		late, last = day.lateCalls()
-		share = day.soundShare(last.Add(soundBegins))
+		late = day.lateCalls()
+		var judged bool
+		if share, judged = day.soundShare(); !judged {
+			t.Errorf("seed %d: too few sound calls to judge", seed)
+		}
 		t.Logf("seed %d: %d crashes, %d calls beyond the bound, %.2f of the sound calls begin", seed, day.engines.starts-crashEngines, late, share)
 		cancel()
 		time.Sleep(time.Minute)
 	})
 	return late, share
 }
+
+// TestPartTrial checks which calls may be the trial of a part that three different
+// crashing parts were in calls with: none that has one of these too.
+func TestPartTrial(t *testing.T) {
+	strikes := &sharedStrikes{strikes: map[string]*controlv1.Strikes{}}
+	r := New(nil, nil, nil, strikes, "osu", RetryBudget{}, nil, logrus.NewEntry(logrus.New()))
+	callOf := func(parts ...string) *callState {
+		c := &callState{call: &Call{Prompt: Prompt{Model: "m"}}}
+		for _, p := range append(parts, "own") {
+			c.call.Prompt.Parts = append(c.call.Prompt.Parts, Part{ID: p})
+		}
+		return c
+	}
+	first := callOf("first").partDigests()[0]
+	strikes.strikes[first] = &controlv1.Strikes{Count: 3}
+	for i := range 3 {
+		bad := callOf(fmt.Sprint("bad", i)).partDigests()[0]
+		crash := &controlv1.PartCrash{Endpoint: fmt.Sprint("e", i), OtherParts: []string{bad}}
+		strikes.strikes[first].Crashes = append(strikes.strikes[first].Crashes, crash)
+		strikes.strikes[bad] = &controlv1.Strikes{Count: 1, Crashes: []*controlv1.PartCrash{{Endpoint: crash.Endpoint, OtherParts: []string{first}}}}
+	}
+	for _, k := range []struct {
+		parts []string
+		trial bool
+	}{{[]string{"first"}, true}, {[]string{"first", "bad0"}, false}, {[]string{"first", "new"}, true}} {
+		trial, err := r.screenParts(callOf(k.parts...))
+		if err == nil || slices.Contains(trial, first) != k.trial {
+			t.Errorf("%v: trial of %v, %v", k.parts, trial, err)
+		}
+	}
+}
--- a/relay/part.go
+++ b/relay/part.go
@@ -160,6 +160,7 @@
 	}
 	digests, now := cs.partDigests(), time.Now()
 	suspects := map[string][]string{}
+	var struck []string
 	failedTrials := uint32(0)
 	for _, d := range digests {
 		s := r.strikes.PartStrikes(d)
@@ -167,9 +168,12 @@
 		case s.GetSound() || s.GetCount() == 0:
 		case r.parts.isSound(d, now):
 			r.exonerate(d)
-		case s.GetCount() >= partCrashLimit:
-			suspects[d] = r.companions(s)
-			failedTrials = max(failedTrials, s.GetFailedTrials())
+		default:
+			struck = append(struck, d)
+			if s.GetCount() >= partCrashLimit {
+				suspects[d] = r.companions(s)
+				failedTrials = max(failedTrials, s.GetFailedTrials())
+			}
 		}
 	}
 	refused := false
@@ -179,7 +183,7 @@
 			continue
 		}
 		refused = true
-		if explains(d, others, suspects) {
+		if explains(d, others, struck) {
 			trial = append(trial, d)
 		}
 	}
@@ -193,9 +197,10 @@
 	return trial, &CrashingPartError{Parts: trial, RetryAfter: wait}
 }
 
-// explains reports whether all suspects of a call are a part and its companions.
-func explains(digest string, companions []string, suspects map[string][]string) bool {
-	for d := range suspects {
+// explains reports whether all parts of a call that have strikes are a part and its
+// companions. Else the call would be no trial of that part.
+func explains(digest string, companions, struck []string) bool {
+	for _, d := range struck {
 		if d != digest && !slices.Contains(companions, d) {
 			return false
 		}
