--- a/relay/crashing_part_test.go
+++ b/relay/crashing_part_test.go
@@ -332,10 +332,10 @@
 	return w.began
 }
 
-// play offers sound calls for 40 s, those with parts of their own and, from soundFrom
-// on, those with the parts of the crashing ones, and crashing calls from 10 to 30 s.
+// play offers sound calls for 50 s, those with parts of their own and, from soundFrom
+// on, those with the parts of the crashing ones, and crashing calls from 10 to 45 s.
 func (d *crashDay) play(ctx context.Context, crashing, sound []string, soundFrom, every time.Duration) {
-	const length, until = 40 * time.Second, 30 * time.Second
+	const length, until = 50 * time.Second, 45 * time.Second
 	start := time.Now()
 	d.crashingUntil = start.Add(until)
 	var done sync.WaitGroup
