Send, end and admit attempts in one place each

Found on reading the whole change again; behaviour stays as it is.

Cause: the retry of a silent stream repeated how a call is sent and counted, how a turned-away call becomes an error, and how an attempt with reserved memory ends; two places checked on their own whether an endpoint takes a request; the view looked a content's strikes up in three ways.

Change: Relay.dispatch, Relay.endAttempt, tracker.admits and View.StrikesAgainst serve all of them.

Conclusion: one copy each. No test was changed.

--- a/controls/view.go
+++ b/controls/view.go
@@ -444,9 +444,7 @@
 
 // Strikes returns the number of crashes that are counted against a content.
 func (v *View) Strikes(digest string) uint32 {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	return v.strikes[digest].GetCount()
+	return v.StrikesAgainst(digest).GetCount()
 }
 
 // StrikesAgainst returns the strikes against a content or a part of prompts, or nil.
@@ -465,9 +463,7 @@
 
 // Condemned reports whether a content crashed an endpoint on which it ran alone.
 func (v *View) Condemned(digest string) bool {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	return v.strikes[digest].GetCondemned()
+	return v.StrikesAgainst(digest).GetCondemned()
 }
 
 // Changed returns a channel that is closed after the next change.
--- a/relay/begun_attempt.go
+++ b/relay/begun_attempt.go
@@ -1,11 +1,6 @@
 package relay
 
-import (
-	"context"
-	"errors"
-
-	"ebonyreel/transport"
-)
+import "context"
 
 // begunAttempt is an attempt whose engine has begun to answer, while the attempt that it
 // replaces is still open.
@@ -38,11 +33,7 @@
 		return true
 	}
 	cancel()
-	result := resultOf(ctx, err)
-	r.tracker.end(s.endpoint, result, 0, float64(s.tokens))
-	r.endRun(cs, s, result == resultFailed || result == resultUnreachable)
-	r.recordFailure(cs, s.endpoint, err)
-	go r.releaseMemory(t)
+	r.endAttempt(ctx, cs, s, t, 0, err)
 	if suggestsCrash(err) {
 		r.reportCrashAt(cs, t.Endpoint)
 	}
@@ -53,23 +44,10 @@
 // sendRetry sends an attempt and returns its answer where that is a stream.
 func (r *Relay) sendRetry(ctx context.Context, cs *callState, t Attempt) (*Reply, error) {
 	cs.attempted[t.Endpoint.Name] = true
-	reply, err := r.sender.Send(ctx, cs.call, t)
-	var dialErr *transport.DialError
-	if !errors.As(err, &dialErr) {
-		cs.sent++
-	}
-	if err != nil {
-		return nil, err
-	}
-	switch {
-	case reply.NotRun || reply.Misdirected:
-		err = &NotRunError{Status: reply.Status, RetryAfter: reply.RetryAfter, Misdirected: reply.Misdirected}
-	case !reply.Events:
-		err = &StatusError{Status: reply.Status}
-	}
-	if err != nil {
-		_ = reply.Body.Close()
-		return nil, err
+	reply, err := r.dispatch(ctx, cs, t)
+	if err != nil || reply.Events {
+		return reply, err
 	}
-	return reply, nil
+	_ = reply.Body.Close()
+	return nil, &StatusError{Status: reply.Status}
 }
--- a/relay/deferred.go
+++ b/relay/deferred.go
@@ -65,13 +65,19 @@
 	defer t.mu.Unlock()
 	var out []string
 	for _, e := range members {
-		if s := t.endpoints[keyOf(e)]; s != nil && !s.admission.allows(now, entries) {
+		if !t.admits(e, now, entries) {
 			out = append(out, e.GetName())
 		}
 	}
 	return out
 }
 
+// admits reports whether an endpoint takes a request of this entry now. t.mu must be held.
+func (t *tracker) admits(e *controlv1.Endpoint, now time.Time, entries func() int) bool {
+	s := t.endpoints[keyOf(e)]
+	return s == nil || s.admission.allows(now, entries)
+}
+
 // take counts a request to an endpoint.
 func (t *tracker) take(k endpointKey, entries func() int) {
 	t.mu.Lock()
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -146,17 +146,22 @@
 	if err == nil {
 		r.recordLength(cs)
 	}
-	result := resultOf(ctx, err)
-	r.tracker.end(s.endpoint, result, latency, float64(s.tokens))
-	r.endRun(cs, s, result == resultFailed || result == resultUnreachable)
 	if t.Source.ID != "" {
 		r.metrics.promptPrefilled(cs.call.Prompt.Tokens, latency > 0)
 	}
+	r.endAttempt(ctx, cs, s, t, latency, err)
+	return err
+}
+
+// endAttempt ends an attempt with reserved memory, which it releases after a failure.
+func (r *Relay) endAttempt(ctx context.Context, cs *callState, s reservation, t Attempt, latency time.Duration, err error) {
+	result := resultOf(ctx, err)
+	r.tracker.end(s.endpoint, result, latency, float64(s.tokens))
+	r.endRun(cs, s, result == resultFailed || result == resultUnreachable)
 	if err != nil {
 		r.recordFailure(cs, s.endpoint, err)
 		go r.releaseMemory(t)
 	}
-	return err
 }
 
 // prepareAttempt returns an attempt with reserved memory, after the prompt was computed
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -490,9 +490,6 @@
 		return 0, err
 	}
 	defer func() { _ = reply.Body.Close() }()
-	if reply.NotRun || reply.Misdirected {
-		return 0, &NotRunError{Status: reply.Status, RetryAfter: reply.RetryAfter, Misdirected: reply.Misdirected}
-	}
 	cs.mayHaveRun = true
 	if reply.Events {
 		return r.forwardStream(cs, reply, monitor, start)
@@ -506,6 +503,12 @@
 		context.AfterFunc(ctx, begun.cancel)
 		return begun.reply, nil
 	}
+	return r.dispatch(ctx, cs, t)
+}
+
+// dispatch sends a call and returns the head of the answer. The error is a *NotRunError
+// where the endpoint turns the call away.
+func (r *Relay) dispatch(ctx context.Context, cs *callState, t Attempt) (*Reply, error) {
 	reply, err := r.sender.Send(ctx, cs.call, t)
 	var dialErr *transport.DialError
 	if errors.As(err, &dialErr) {
@@ -514,8 +517,13 @@
 	cs.sent++
 	if err != nil {
 		cs.mayHaveRun = true
+		return nil, err
+	}
+	if reply.NotRun || reply.Misdirected {
+		_ = reply.Body.Close()
+		return nil, &NotRunError{Status: reply.Status, RetryAfter: reply.RetryAfter, Misdirected: reply.Misdirected}
 	}
-	return reply, err
+	return reply, nil
 }
 
 // stallTimeout returns how long an endpoint may send nothing before the call is
--- a/relay/tracker.go
+++ b/relay/tracker.go
@@ -137,7 +137,7 @@
 		if _, err := netip.ParseAddrPort(e.GetAddress()); err != nil || !takesRole(e, c.role) {
 			continue
 		}
-		if s := t.endpoints[keyOf(e)]; s != nil && !s.admission.allows(c.now, c.entries) {
+		if !t.admits(e, c.now, c.entries) {
 			continue
 		}
 		cost := t.cost(e, c)
