Log the versions of endpoints and which streams callers resume

The record of a request has ResumedRequest, ResumedAfter and the Version of each endpoint chosen, endpoint changed has its Version, and the metric Relay.Resumed counts the ends of resumed streams. No decision depends on any of these yet.

--- a/cmd/ebonyreel/explain.go
+++ b/cmd/ebonyreel/explain.go
@@ -135,8 +135,11 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "request %s at %s on %s\n", d.Request, d.Time.Format("2006-01-02 15:04:05.000"), d.Entry)
 	fmt.Fprintf(&b, "caller %s, serves %s, document %d\n", orNone(d.Caller), orNone(d.Serves), d.DocumentNumber)
+	if d.ResumedAfter != "" {
+		fmt.Fprintf(&b, "resumes the stream of request %s after event %s\n", orNone(d.ResumedRequest), d.ResumedAfter)
+	}
 	for _, c := range d.Choices {
-		fmt.Fprintf(&b, "%6d ms  attempt %d: %s of %d members, chose %s\n", c.AfterMilliseconds, c.Attempt, c.Role, c.Members, orNone(c.Chosen))
+		fmt.Fprintf(&b, "%6d ms  attempt %d: %s of %d members, chose %s%s\n", c.AfterMilliseconds, c.Attempt, c.Role, c.Members, orNone(c.Chosen), formatVersion(c.Version))
 		for _, k := range c.Candidates {
 			fmt.Fprintf(&b, "           asked %s%s\n", k.Name, formatLoad(k))
 		}
@@ -151,6 +154,13 @@
 	return b.String()
 }
 
+func formatVersion(v string) string {
+	if v == "" {
+		return ""
+	}
+	return " of version " + v
+}
+
 func formatLoad(k decision.Candidate) string {
 	if !k.Known {
 		return ", load not known"
--- a/controls/view.go
+++ b/controls/view.go
@@ -291,7 +291,7 @@
 	relevant := old != nil || e.GetState() != controlv1.EndpointState_ENDPOINT_STATE_GONE
 	if relevant && (old.GetState() != e.GetState() || old.GetLifetime() != e.GetLifetime()) {
 		v.log.WithFields(logrus.Fields{
-			"Endpoint": e.GetName(), "Address": e.GetAddress(), "Serves": e.GetServes(), "Lifetime": e.GetLifetime(),
+			"Endpoint": e.GetName(), "Address": e.GetAddress(), "Serves": e.GetServes(), "Lifetime": e.GetLifetime(), "Version": e.GetVersion(),
 			"State": e.GetState().String(), "Was": old.GetState().String(),
 		}).Info("endpoint changed")
 	}
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -53,6 +53,10 @@
 	// PromptParts are the IDs of the parts of the prompt that other prompts may
 	// share, truncated.
 	PromptParts []string `json:",omitempty"`
+	// ResumedRequest is the ID of the request that began the stream which the caller
+	// resumes, and ResumedAfter that of the last event it has received.
+	ResumedRequest string `json:",omitempty"`
+	ResumedAfter   string `json:",omitempty"`
 	// Choices and Failures are in chronological order, at most maxSteps each.
 	Choices  []Choice  `json:",omitempty"`
 	Failures []Failure `json:",omitempty"`
@@ -91,6 +95,8 @@
 	Candidates []Candidate
 	// Chosen is the name of the chosen candidate; it is empty if there was none.
 	Chosen string
+	// Version is the software version of the chosen endpoint, where it is known.
+	Version string `json:",omitempty"`
 	// AfterMilliseconds is the time from the start of the request.
 	AfterMilliseconds int64
 }
--- a/decision/logline.go
+++ b/decision/logline.go
@@ -46,6 +46,7 @@
 	}
 	texts := map[string]string{
 		"Caller": r.Caller, "Route": r.Route, "Serves": r.Serves, "Reason": r.Reason[:min(len(r.Reason), maxReasonBytes)], "LastEvent": logs.Truncate(r.LastEvent),
+		"ResumedRequest": r.ResumedRequest, "ResumedAfter": r.ResumedAfter,
 	}
 	for name, v := range texts {
 		if v != "" {
--- a/relay/call.go
+++ b/relay/call.go
@@ -36,6 +36,9 @@
 	// LastEvent is the ID of the event after which the caller resumes a stream;
 	// empty for a stream from its start.
 	LastEvent string
+	// ResumedRequest is the ID of the request whose answer brought the first event of
+	// the stream that the caller resumes; empty where the caller does not say.
+	ResumedRequest string
 	// Prompt is declared by requests to model engines.
 	Prompt Prompt
 }
@@ -76,6 +79,8 @@
 	Address netip.AddrPort
 	// Lifetime tells the starts of an endpoint apart.
 	Lifetime int64
+	// Version is that of the endpoint's software.
+	Version string
 }
 
 // Attempt is one dispatch of a call to an endpoint.
--- a/relay/errors.go
+++ b/relay/errors.go
@@ -172,5 +172,5 @@
 	if err != nil {
 		return Endpoint{Name: e.GetName()}
 	}
-	return Endpoint{Name: e.GetName(), Address: a, Lifetime: e.GetLifetime()}
+	return Endpoint{Name: e.GetName(), Address: a, Lifetime: e.GetLifetime(), Version: e.GetVersion()}
 }
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -74,6 +74,8 @@
 	// PrefillTokens counts the prompt tokens computed by prefill engines: Taken
 	// where a decode engine used the result, Wasted where none did.
 	PrefillTokens labelCounter
+	// Resumed is keyed by outcome: the requests whose callers resume a stream.
+	Resumed labelCounter
 	// Reserved is keyed by pool: the tokens of engine memory now reserved for calls.
 	Reserved labelCounter
 }
@@ -93,6 +95,9 @@
 // callEnded counts the end of a call.
 func (m *metrics) callEnded(cs *callState, outcome string) {
 	m.Requests.add(cs.route.Name+" "+outcome, 1)
+	if cs.call.LastEvent != "" {
+		m.Resumed.add(outcome, 1)
+	}
 	if cs.longestGap > 0 {
 		m.Gap.observe(string(cs.route.Kind), cs.longestGap)
 	}
@@ -121,7 +126,7 @@
 		"Requests": &m.Requests, "Answered": &m.Answered, "Refused": &m.Refused, "Late": &m.Late,
 		"First": &m.First, "Gap": &m.Gap, "Queue": &m.Queue, "Prefill": &m.Prefill,
 		"Retried": &m.Retried, "OverBudget": &m.OverBudget, "RetriesLeft": expvar.Func(r.retriesLeft),
-		"PrefillTokens": &m.PrefillTokens, "Reserved": &m.Reserved, "DecisionsDropped": r.decisions.Dropped,
+		"PrefillTokens": &m.PrefillTokens, "Reserved": &m.Reserved, "Resumed": &m.Resumed, "DecisionsDropped": r.decisions.Dropped,
 		"Waiting": expvar.Func(r.queueLengths), "InFlight": expvar.Func(func() any { return r.inFlight.Load() }),
 	} {
 		vars.Set(name, v)
--- a/relay/record.go
+++ b/relay/record.go
@@ -14,6 +14,7 @@
 		p := cs.call.Prompt
 		d.Route, d.Serves, d.DocumentNumber = cs.route.Name, cs.pool.Name, cs.documentNumber
 		d.PromptTokens, d.MaxOutput, d.ExpectedOutput = p.Tokens, p.MaxOutput, p.ExpectedOutput
+		d.ResumedRequest, d.ResumedAfter = logs.Truncate(cs.call.ResumedRequest), logs.Truncate(cs.call.LastEvent)
 	})
 	if shared := cs.call.Prompt.sharedParts(); len(shared) > 0 {
 		cs.record.SetPromptParts(shared)
@@ -34,6 +35,7 @@
 	cs.record.AddChoice(decision.Choice{
 		Attempt: uint32(cs.sent + 1), Role: roleNames[role], Members: pool,
 		Candidates: []decision.Candidate{{Name: e.GetName(), Known: true, Running: inFlight}}, Chosen: e.GetName(),
+		Version: logs.Truncate(e.GetVersion()),
 	})
 }
 
