--- a/proof/platform_engine_test.go
+++ b/proof/platform_engine_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -40,6 +41,8 @@
 
 	mu     sync.Mutex
 	starts int
+	// running are the engines that run, by name.
+	running map[string]*platformEngine
 	// crashes and reached are when an engine crashed, and when a call with the crashing
 	// part reached an engine.
 	crashes, reached []time.Time
@@ -53,6 +56,8 @@
 	born    time.Time
 	// stage is empty for a plain service.
 	stage string
+	// version is that of its software.
+	version string
 	// seq is the number of the last announcement.
 	seq uint64
 }
@@ -68,13 +73,17 @@
 	announcedEndpoint
 }
 
-// start starts an engine at an address until the context ends.
-func (p *platformEngines) start(ctx context.Context, address netip.AddrPort, stage string) {
+// start starts an engine of a version at an address until the context ends.
+func (p *platformEngines) start(ctx context.Context, address netip.AddrPort, stage, version string) {
 	p.mu.Lock()
 	p.starts++
 	e := &platformEngine{engines: p, announcedEndpoint: announcedEndpoint{
-		service: "engines", name: fmt.Sprintf("i-%d", p.starts), address: address, born: time.Now(), stage: stage,
+		service: "engines", name: fmt.Sprintf("i-%d", p.starts), address: address, born: time.Now(), stage: stage, version: version,
 	}}
+	if p.running == nil {
+		p.running = map[string]*platformEngine{}
+	}
+	p.running[e.name] = e
 	p.mu.Unlock()
 	l, err := net.Listen("tcp", address.String())
 	if err != nil {
@@ -102,7 +111,7 @@
 func (e *announcedEndpoint) announce(ctx context.Context, t *testing.T, to netip.AddrPort) {
 	e.seq++
 	b, err := json.Marshal(map[string]any{
-		"service": e.service, "address": e.address.String(), "zone": "osu", "version": "v1", "slots": 12, "state": "ready", "coldLeftMs": 0,
+		"service": e.service, "address": e.address.String(), "zone": "osu", "version": e.version, "slots": 12, "state": "ready", "coldLeftMs": 0,
 		"stage": e.stage, "models": []any{}, "seq": e.seq, "born": e.born.UnixMilli(),
 	})
 	if err != nil {
@@ -124,12 +133,13 @@
 	p := e.engines
 	p.mu.Lock()
 	p.crashes = append(p.crashes, time.Now())
+	delete(p.running, e.name)
 	p.mu.Unlock()
 	e.stop()
 	_ = e.server.Close()
 	time.AfterFunc(platformDowntime, func() {
 		if p.t.Context().Err() == nil {
-			p.start(p.t.Context(), e.address, e.currentStage())
+			p.start(p.t.Context(), e.address, e.currentStage(), e.version)
 		}
 	})
 }
@@ -196,11 +206,11 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	for i := range platformEvents {
+	for i := nextEvent(r.Header.Get("Last-Event-Id")); i < platformEvents; i++ {
 		if !clock.Sleep(r.Context(), platformGap) {
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", i); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, e.version); err != nil {
 			return
 		}
 		if err := flush(); err != nil {
@@ -209,12 +219,20 @@
 	}
 }
 
-// platformCall makes a call to an entry, with parts of its prompt, and reports whether
-// its stream began and how it ended.
-func platformCall(ctx context.Context, entry *process, id string, parts ...string) (begun bool, status int) {
+// nextEvent returns the ID of the event after the last one that a caller has received.
+func nextEvent(last string) int {
+	n, err := strconv.Atoi(last)
+	if err != nil {
+		return 0
+	}
+	return n + 1
+}
+
+// newPlatformRequest returns a request to an entry for a stream, with parts of its prompt.
+func newPlatformRequest(ctx context.Context, entry *process, id string, parts ...string) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.address.String()+"/letters/1", strings.NewReader(id))
 	if err != nil {
-		return false, 0
+		return nil, err
 	}
 	r.Host = "desk.example"
 	r.Header.Set("X-Attempt-Id", id)
@@ -222,6 +240,16 @@
 	r.Header.Set("X-Model", "m")
 	r.Header.Set("X-Token-Count", "3000,100")
 	r.Header.Set("X-Prompt-Prefix", strings.Join(append(parts, id), ":100,")+":100")
+	return r, nil
+}
+
+// platformCall makes a call to an entry, with parts of its prompt, and reports whether
+// its stream began and how it ended.
+func platformCall(ctx context.Context, entry *process, id string, parts ...string) (begun bool, status int) {
+	r, err := newPlatformRequest(ctx, entry, id, parts...)
+	if err != nil {
+		return false, 0
+	}
 	res, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return false, 0
@@ -232,8 +260,8 @@
 }
 
 // newPlatformEngines starts decode and prefill engines that announce themselves to
-// control hosts.
-func newPlatformEngines(t *testing.T, controls []netip.AddrPort, decode, prefill int) *platformEngines {
+// control hosts. The versions of the engines of a stage take turns.
+func newPlatformEngines(t *testing.T, controls []netip.AddrPort, decode, prefill int, versions ...string) *platformEngines {
 	t.Helper()
 	p := &platformEngines{t: t, controls: controls}
 	for i := range decode + prefill {
@@ -241,7 +269,7 @@
 		if i >= decode {
 			stage = "prefill"
 		}
-		p.start(t.Context(), ports.Free(), stage)
+		p.start(t.Context(), ports.Free(), stage, versions[i%len(versions)])
 	}
 	return p
 }
--- a/proof/platform_limit_test.go
+++ b/proof/platform_limit_test.go
@@ -147,7 +147,7 @@
 	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
-	announceService(t.Context(), t, announcedEndpoint{service: "desk", name: s.name, address: address, born: time.Now()}, controls)
+	announceService(t.Context(), t, announcedEndpoint{service: "desk", name: s.name, address: address, born: time.Now(), version: "v1"}, controls)
 }
 
 // announceService announces an endpoint in the background until the context ends.
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -45,7 +45,7 @@
 	c := newCluster(t, "production")
 	h := startPlatformHosts(c)
 	h.putConfigurationBody(t, 0, []byte(platformConfiguration))
-	engines := newPlatformEngines(t, c.controls, 8, 4)
+	engines := newPlatformEngines(t, c.controls, 8, 4, "v1")
 	var entries []*process
 	for i := range 4 {
 		entries = append(entries, startPlatformEntry(c, fmt.Sprintf("entry-%d", i)))
