Let an answer go on only at engines of the version that began it

Cause: the version that an endpoint announces was kept and never looked at. Another attempt of a started stream was placed like a new one, by the entry and by control.

Change: the first event sets the origin of the stream, its pool and version. From then on only endpoints of that version are members of the pool for it (Relay.members), whoever chooses: the picks of entries, control's grants (AcquireRequest.version, allocation), and what is granted by a control host that does not know the field. Without one, the answer is broken off at once, so that the caller can act. That a stream is started is now told from its origin, in one place.

TestStartedStreamVersion (control's grants) fails without the check.

Conclusion: holds within an answer.

--- a/allocation/pool.go
+++ b/allocation/pool.go
@@ -44,6 +44,8 @@
 	Name          string
 	FailureDomain string
 	Stage         stages.Stage
+	// Version is that of the engine's software.
+	Version string
 }
 
 // Speeds are the measured speeds of a pool's engines.
@@ -70,8 +72,10 @@
 	AbandonAt   time.Time
 	// Priority is 0 for the most urgent.
 	Priority int
-	// Started is true for a stream whose caller has received events.
+	// Started is true for a stream whose caller has received events. It goes on only at
+	// engines of Version.
 	Started bool
+	Version string
 	// Prefill is true where a prefill engine computes the prompt.
 	Prefill bool
 	// Excluded are engines that must not decode the request.
@@ -297,7 +301,7 @@
 	n := len(p.decoding)
 	for i := range min(n, sampleSize) {
 		s := p.engines[p.decoding[(p.scan+i)%n]]
-		if earmarked[s.Name] || now.Before(s.avoidUntil) || slices.Contains(r.Excluded, s.Name) {
+		if earmarked[s.Name] || now.Before(s.avoidUntil) || !r.mayDecodeAt(s.Engine) {
 			continue
 		}
 		load := p.forecastOf(s, now).peak(&own) / float64(max(p.Memory, 1))
@@ -328,6 +332,11 @@
 	return &Grant{Request: r, Decode: best.Name, Prefill: prefill, Tokens: r.PromptTokens}, ""
 }
 
+// mayDecodeAt reports whether an engine may decode a request.
+func (r *Request) mayDecodeAt(e Engine) bool {
+	return (!r.Started || e.Version == r.Version) && !slices.Contains(r.Excluded, e.Name)
+}
+
 // leastBacklog returns the prefill engine that would compute the prompt of a request
 // first, and how long it would take to begin.
 func (p *Pool) leastBacklog(r *Request, now time.Time) (string, time.Duration) {
--- a/control/allocator.go
+++ b/control/allocator.go
@@ -200,7 +200,7 @@
 		if wantedRole(e) != e.GetRole() {
 			continue
 		}
-		engines = append(engines, allocation.Engine{Name: e.GetName(), FailureDomain: e.GetFailureDomain(), Stage: stageOf(e.GetRole())})
+		engines = append(engines, allocation.Engine{Name: e.GetName(), FailureDomain: e.GetFailureDomain(), Stage: stageOf(e.GetRole()), Version: e.GetVersion()})
 	}
 	p.SetEngines(engines)
 	estimate := a.store.estimate(a.environment, name)
@@ -313,7 +313,7 @@
 			ID: run.GetId(), Owner: state.MemberKey(a.environment, r.GetOwner()), FailureDomain: r.GetFailureDomain(),
 			PromptTokens: int(run.GetPromptTokens()), Output: p.outputOf(run), Arrived: now.Add(-run.GetAge().AsDuration()),
 			OnTimeUntil: now.Add(r.GetOnTimeLeft().AsDuration()), AbandonAt: now.Add(r.GetAbandonLeft().AsDuration()),
-			Priority: int(r.GetPriority()), Started: r.GetStarted(), Prefill: r.GetPrefill(), Excluded: r.GetExcluded(),
+			Priority: int(r.GetPriority()), Started: r.GetStarted(), Version: r.GetVersion(), Prefill: r.GetPrefill(), Excluded: r.GetExcluded(),
 		})
 	}
 	t.waiters++
--- a/relay/allocate.go
+++ b/relay/allocate.go
@@ -104,13 +104,16 @@
 // allocate reserves the memory that the allocator grants. The error is a
 // *QueueTimeoutError where it refuses the request, and any other where it is not
 // available.
-func (r *Relay) allocate(ctx context.Context, cs *callState, started bool, onTimeUntil, abandonAt time.Time) (reservation, error) {
+func (r *Relay) allocate(ctx context.Context, cs *callState, onTimeUntil, abandonAt time.Time) (reservation, error) {
 	start, run := time.Now(), r.newRun(cs)
 	in := &controlv1.AcquireRequest{
-		Pool: cs.pool.Name, Run: run, Priority: int32(cs.route.Priority), Started: started, Prefill: cs.prefills == 0,
+		Pool: cs.pool.Name, Run: run, Priority: int32(cs.route.Priority), Prefill: cs.prefills == 0,
+	}
+	if cs.origin != nil {
+		in.Started, in.Version = true, cs.origin.Version
 	}
 	for {
-		members := r.fleet.Endpoints(cs.pool.Name)
+		members := r.members(cs)
 		in.Excluded = r.tracker.closed(members, time.Now(), r.fleet.Entries)
 		for name := range cs.attempted {
 			in.Excluded = append(in.Excluded, name)
@@ -140,7 +143,7 @@
 
 // reserveGranted reserves the granted memory at its engine.
 func (r *Relay) reserveGranted(ctx context.Context, cs *callState, run *controlv1.PoolRun, res *controlv1.AcquireResponse) (reservation, error) {
-	members := r.fleet.Endpoints(cs.pool.Name)
+	members := r.members(cs)
 	i := slices.IndexFunc(members, func(e *controlv1.Endpoint) bool { return e.GetName() == res.GetDecodeEngine() })
 	if i < 0 || !takesRole(members[i], controlv1.Role_ROLE_DECODE) {
 		return reservation{}, &NoEndpointError{Pool: cs.pool.Name}
--- a/relay/deferred.go
+++ b/relay/deferred.go
@@ -29,17 +29,17 @@
 	return &NoEndpointError{Pool: pool}
 }
 
-// admissionError returns the error of noEndpointError where no endpoint of a pool takes
-// a request of a role now, and some endpoint has said so.
-func (r *Relay) admissionError(pool string, role controlv1.Role) error {
-	members, now := r.fleet.Endpoints(pool), time.Now()
+// admissionError returns the error of noEndpointError where no endpoint that may serve a
+// call takes a request of a role now, and some endpoint has said so.
+func (r *Relay) admissionError(cs *callState, role controlv1.Role) error {
+	members, now := r.members(cs), time.Now()
 	closed := r.tracker.closed(members, now, r.fleet.Entries)
 	if len(closed) == 0 || slices.ContainsFunc(members, func(e *controlv1.Endpoint) bool {
 		return takesRole(e, role) && !slices.Contains(closed, e.GetName())
 	}) {
 		return nil
 	}
-	return r.noEndpointError(pool, members, criteria{now: now, role: role})
+	return r.noEndpointError(cs.pool.Name, members, criteria{now: now, role: role})
 }
 
 // nextRequest returns the time until an endpoint that takes a role takes a request. ok is
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -100,6 +100,7 @@
 			return &CallerGoneError{Cause: err}
 		}
 		cs.started, cs.firstSent = true, time.Now()
+		cs.origin = &Origin{Pool: cs.pool.Name, Version: cs.endpoint.Version}
 		r.metrics.First.observe(string(cs.route.Kind), cs.firstSent.Sub(cs.call.Arrived))
 	}
 	if err := cs.answer.WriteEvent(event); err != nil {
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -225,8 +225,6 @@
 	lastSent time.Time
 	// dueBy is when the next event must be sent to meet the route's target.
 	dueBy time.Time
-	// started is true for a stream whose caller has received events.
-	started bool
 }
 
 // memoryRequest returns the request for the memory of the next attempt.
@@ -235,7 +233,7 @@
 	if cs.lastSent.IsZero() {
 		return memoryRequest{lastSent: cs.call.Arrived, dueBy: cs.firstArrived.Add(target)}
 	}
-	return memoryRequest{lastSent: cs.lastSent, dueBy: cs.lastSent.Add(target), started: true}
+	return memoryRequest{lastSent: cs.lastSent, dueBy: cs.lastSent.Add(target)}
 }
 
 // reserve reserves memory that the allocator grants or, where it is not available,
@@ -246,23 +244,23 @@
 	onTimeUntil, abandonAt := m.dueBy.Add(-startLatency), cs.abandonTime(m.lastSent).Add(-startLatency)
 	ctx, cancel := context.WithDeadline(ctx, abandonAt)
 	defer cancel()
-	if err := r.admissionError(cs.pool.Name, controlv1.Role_ROLE_DECODE); err != nil {
+	if err := r.admissionError(cs, controlv1.Role_ROLE_DECODE); err != nil {
 		return reservation{}, err
 	}
-	if r.allocator != nil && r.knowsDecodeEngine(cs.pool.Name) {
-		s, err := r.allocate(ctx, cs, m.started, onTimeUntil, abandonAt)
+	if r.allocator != nil && r.knowsDecodeEngine(cs) {
+		s, err := r.allocate(ctx, cs, onTimeUntil, abandonAt)
 		var queueTimeout *QueueTimeoutError
 		if err == nil || errors.As(err, &queueTimeout) {
 			return s, err
 		}
 	}
-	return r.reserveDirectly(ctx, cs, m.started, onTimeUntil, abandonAt)
+	return r.reserveDirectly(ctx, cs, onTimeUntil, abandonAt)
 }
 
-// knowsDecodeEngine reports whether an engine of a pool takes requests to decode.
-// Without one, a request is refused at once.
-func (r *Relay) knowsDecodeEngine(pool string) bool {
-	return slices.ContainsFunc(r.fleet.Endpoints(pool), func(e *controlv1.Endpoint) bool {
+// knowsDecodeEngine reports whether an engine takes a request to decode. Without one, the
+// request is refused at once.
+func (r *Relay) knowsDecodeEngine(cs *callState) bool {
+	return slices.ContainsFunc(r.members(cs), func(e *controlv1.Endpoint) bool {
 		return takesRole(e, controlv1.Role_ROLE_DECODE)
 	})
 }
@@ -270,11 +268,11 @@
 // reserveDirectly waits in this entry's queue of the pool until one of its engines
 // grants memory. The error is a *QueueTimeoutError where the queue refuses the
 // request, or none grants memory before the caller gives up.
-func (r *Relay) reserveDirectly(ctx context.Context, cs *callState, started bool, onTimeUntil, abandonAt time.Time) (reservation, error) {
+func (r *Relay) reserveDirectly(ctx context.Context, cs *callState, onTimeUntil, abandonAt time.Time) (reservation, error) {
 	q, start := r.queueOf(cs.pool.Name), time.Now()
 	for {
 		w := newWaiter(onTimeUntil, abandonAt, cs.route.Priority)
-		w.Started = started
+		w.Started = cs.origin != nil
 		if !q.acquire(ctx, w) {
 			return reservation{}, &QueueTimeoutError{Waited: time.Since(start)}
 		}
@@ -306,7 +304,7 @@
 		asked[name] = true
 	}
 	var lastErr error
-	members := r.fleet.Endpoints(cs.pool.Name)
+	members := r.members(cs)
 	for range maxReservationAttempts {
 		c := criteria{
 			now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_DECODE, attempted: asked, weight: float64(s.tokens), entries: r.fleet.Entries,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -151,6 +151,8 @@
 	demandRecorded bool
 	// attempted are the names of the endpoints that the call was sent to.
 	attempted map[string]bool
+	// origin is where the stream began; nil before the caller has received an event.
+	origin *Origin
 	// started is true once a stream to the caller has started, lastEvent is the ID
 	// of the last event sent to the caller or received before, and eventCount the
 	// number sent.
@@ -403,7 +405,7 @@
 		return r.generate(ctx, cs)
 	}
 	c := criteria{now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_DECODE, attempted: cs.attempted, weight: 1, entries: r.fleet.Entries}
-	members := r.fleet.Endpoints(cs.pool.Name)
+	members := r.members(cs)
 	e, inFlight := r.tracker.pick(members, c)
 	if e == nil {
 		return r.noEndpointError(cs.pool.Name, members, c)
@@ -430,9 +432,9 @@
 	cs.attempted[t.Endpoint.Name], cs.endpoint, cs.attemptEvents = true, t.Endpoint, 0
 	timeout, begun := r.stallTimeout(cs), cs.begun
 	cs.begun = nil
-	monitor := newStallMonitor(ctx, cancel, timeout, cs.started, func(ctx context.Context, s stalledAttempt) bool {
+	monitor := newStallMonitor(ctx, cancel, timeout, func(ctx context.Context, s stalledAttempt) bool {
 		lastSent := time.Now().Add(-s.idle)
-		m := memoryRequest{lastSent: lastSent, dueBy: lastSent.Add(time.Duration(cs.route.Target)), started: s.started}
+		m := memoryRequest{lastSent: lastSent, dueBy: lastSent.Add(time.Duration(cs.route.Target))}
 		return r.prepareRetry(ctx, callContext, cs, m, s.flowing)
 	})
 	latency, err := r.exchange(ctx, cs, t, begun, monitor, start)
--- a/relay/stall_monitor.go
+++ b/relay/stall_monitor.go
@@ -14,9 +14,7 @@
 	cancel         context.CancelCauseFunc
 	// prepareRetry prepares another attempt. It reports whether there is one.
 	prepareRetry func(context.Context, stalledAttempt) bool
-	// started is true once the caller has received events, and flowing once it has
-	// received one of this attempt.
-	started bool
+	// flowing is true once the caller has received an event of this attempt.
 	flowing bool
 	// enabled is false where the call can't be sent again.
 	enabled bool
@@ -28,22 +26,20 @@
 	stall *StallError
 }
 
-// stalledAttempt is an attempt whose endpoint has sent nothing for the time idle. started
-// is true where the caller has received events, and flowing where it received some of
-// this attempt.
+// stalledAttempt is an attempt whose endpoint has sent nothing for the time idle. flowing
+// is true where the caller has received events of this attempt.
 type stalledAttempt struct {
 	idle    time.Duration
-	started bool
 	flowing bool
 }
 
 // newStallMonitor starts a monitor of the attempt in ctx. A timeout of zero disables
 // it.
 func newStallMonitor(
-	ctx context.Context, cancel context.CancelCauseFunc, timeout time.Duration, started bool,
+	ctx context.Context, cancel context.CancelCauseFunc, timeout time.Duration,
 	prepareRetry func(context.Context, stalledAttempt) bool,
 ) *stallMonitor {
-	m := &stallMonitor{attemptContext: ctx, cancel: cancel, prepareRetry: prepareRetry, started: started, enabled: timeout > 0}
+	m := &stallMonitor{attemptContext: ctx, cancel: cancel, prepareRetry: prepareRetry, enabled: timeout > 0}
 	m.start(timeout)
 	return m
 }
@@ -55,7 +51,7 @@
 	ctx, stopPreparing := context.WithCancel(m.attemptContext)
 	done := make(chan struct{})
 	m.stopPreparing, m.done = stopPreparing, done
-	stalled := stalledAttempt{idle: timeout, started: m.started, flowing: m.flowing}
+	stalled := stalledAttempt{idle: timeout, flowing: m.flowing}
 	m.timer = time.AfterFunc(timeout, func() {
 		defer close(done)
 		if m.prepareRetry(ctx, stalled) && ctx.Err() == nil {
@@ -68,7 +64,7 @@
 // reset restarts the timer with another timeout, after an event.
 func (m *stallMonitor) reset(timeout time.Duration) {
 	m.stop()
-	m.started, m.flowing = true, true
+	m.flowing = true
 	m.start(timeout)
 }
 
