Remember at control where streams began, and resume them only at that version

Cause: an entry knew the version of a stream only while it sent it. The one where the caller went on took its request for a new one that begins after some event. The class of fault: a property of the work that lives only in the process that began it.

Without an answer it refuses as not run (unknown_stream): silence is never taken for a version. Callers who do not name the request that began their stream are served where the pool has, and lately had, one version only.

Weighed: inference from the versions in the view where the register is silent (an entry out of touch does not know which versions have joined); a record in the replicated log (a sync before each first event); entries that tell each other (400 of them).

--- a/cmd/control/command.go
+++ b/cmd/control/command.go
@@ -65,6 +65,7 @@
 		platform.NewConfigHandler(g, s.Environment, log).Add(routes)
 		allocator := control.NewAllocator(store, s.Environment, log)
 		routes.Handle(controlv1connect.NewAllocationServiceHandler(allocator, connect.WithInterceptors(security.CheckKey)))
+		routes.Handle(controlv1connect.NewStreamServiceHandler(control.NewStreams(), connect.WithInterceptors(security.CheckKey)))
 		go allocator.Run(ctx)
 		go control.NewBalancer(store, platform.NewEndpointClient(), allocator, s.Environment, time.Duration(s.OrderPause), log).Run(ctx)
 	}
--- a/cmd/entry/platform.go
+++ b/cmd/entry/platform.go
@@ -22,6 +22,7 @@
 	allocations := controls.NewAllocations(p.client, member(s), p.log)
 	go allocations.RunReleases(ctx)
 	r.SetAllocator(allocations)
+	r.SetStreams(controls.NewStreams(p.client, s.Environment, p.log))
 	p.announcer.SetPoolObserver(r)
 	gate := entry.NewGate(p.view, p.log)
 	m := p.operatorRoutes(r, gate.ServeReady, "Relay", r.Metrics(), stop)
--- a/controls/client.go
+++ b/controls/client.go
@@ -55,6 +55,7 @@
 	address     netip.AddrPort
 	client      controlv1connect.ControlServiceClient
 	allocations controlv1connect.AllocationServiceClient
+	streams     controlv1connect.StreamServiceClient
 }
 
 // NewClient returns a client for a list of control hosts.
@@ -99,6 +100,7 @@
 		out = append(out, host{
 			address: a, client: controlv1connect.NewControlServiceClient(c.httpClient, transport.URL(a), c.options...),
 			allocations: controlv1connect.NewAllocationServiceClient(c.httpClient, transport.URL(a), c.options...),
+			streams:     controlv1connect.NewStreamServiceClient(c.httpClient, transport.URL(a), c.options...),
 		})
 	}
 	c.hosts = out
--- a/controls/view.go
+++ b/controls/view.go
@@ -93,6 +93,9 @@
 	// endpoints is keyed by item key, and endpointsByPool by the name of the pool.
 	endpoints       map[string]*controlv1.Endpoint
 	endpointsByPool map[string][]*controlv1.Endpoint
+	// versionsByPool are the software versions of the endpoints, with those that have
+	// left, by the name of the pool.
+	versionsByPool map[string][]string
 	// changed is closed and replaced after each change.
 	changed chan struct{}
 }
@@ -357,8 +360,11 @@
 		g := MemberGroup{Serves: m.GetServes(), Role: m.GetRole()}
 		v.membersByGroup[g] = append(v.membersByGroup[g], m)
 	}
-	v.endpointsByPool = map[string][]*controlv1.Endpoint{}
+	v.endpointsByPool, v.versionsByPool = map[string][]*controlv1.Endpoint{}, map[string][]string{}
 	for _, e := range v.endpoints {
+		if versions := v.versionsByPool[e.GetServes()]; !slices.Contains(versions, e.GetVersion()) {
+			v.versionsByPool[e.GetServes()] = append(versions, e.GetVersion())
+		}
 		if s := e.GetState(); s == controlv1.EndpointState_ENDPOINT_STATE_READY || s == controlv1.EndpointState_ENDPOINT_STATE_LOST {
 			v.endpointsByPool[e.GetServes()] = append(v.endpointsByPool[e.GetServes()], e)
 		}
@@ -431,6 +437,14 @@
 	return v.endpointsByPool[pool]
 }
 
+// Versions returns the software versions of the endpoints of a pool, in no order, with
+// those that have left lately.
+func (v *View) Versions(pool string) []string {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.versionsByPool[pool]
+}
+
 // AllMembers returns every member, in no order.
 func (v *View) AllMembers() []*controlv1.Member {
 	v.mu.RLock()
--- a/proto/control/v1/controlv1connect/control.connect.go
+++ b/proto/control/v1/controlv1connect/control.connect.go
@@ -27,6 +27,8 @@
 	ControlServiceName = "control.v1.ControlService"
 	// AllocationServiceName is the fully-qualified name of the AllocationService service.
 	AllocationServiceName = "control.v1.AllocationService"
+	// StreamServiceName is the fully-qualified name of the StreamService service.
+	StreamServiceName = "control.v1.StreamService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -74,6 +76,12 @@
 	// AllocationServiceReleaseProcedure is the fully-qualified name of the AllocationService's Release
 	// RPC.
 	AllocationServiceReleaseProcedure = "/control.v1.AllocationService/Release"
+	// StreamServiceRecordStreamsProcedure is the fully-qualified name of the StreamService's
+	// RecordStreams RPC.
+	StreamServiceRecordStreamsProcedure = "/control.v1.StreamService/RecordStreams"
+	// StreamServiceFindStreamProcedure is the fully-qualified name of the StreamService's FindStream
+	// RPC.
+	StreamServiceFindStreamProcedure = "/control.v1.StreamService/FindStream"
 )
 
 // ControlServiceClient is a client for the control.v1.ControlService service.
@@ -553,3 +561,99 @@
 func (UnimplementedAllocationServiceHandler) Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("control.v1.AllocationService.Release is not implemented"))
 }
+
+// StreamServiceClient is a client for the control.v1.StreamService service.
+type StreamServiceClient interface {
+	RecordStreams(context.Context, *connect.Request[v1.RecordStreamsRequest]) (*connect.Response[v1.RecordStreamsResponse], error)
+	FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error)
+}
+
+// NewStreamServiceClient constructs a client for the control.v1.StreamService service. By default,
+// it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and
+// sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC()
+// or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewStreamServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) StreamServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	streamServiceMethods := v1.File_control_v1_control_proto.Services().ByName("StreamService").Methods()
+	return &streamServiceClient{
+		recordStreams: connect.NewClient[v1.RecordStreamsRequest, v1.RecordStreamsResponse](
+			httpClient,
+			baseURL+StreamServiceRecordStreamsProcedure,
+			connect.WithSchema(streamServiceMethods.ByName("RecordStreams")),
+			connect.WithClientOptions(opts...),
+		),
+		findStream: connect.NewClient[v1.FindStreamRequest, v1.FindStreamResponse](
+			httpClient,
+			baseURL+StreamServiceFindStreamProcedure,
+			connect.WithSchema(streamServiceMethods.ByName("FindStream")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// streamServiceClient implements StreamServiceClient.
+type streamServiceClient struct {
+	recordStreams *connect.Client[v1.RecordStreamsRequest, v1.RecordStreamsResponse]
+	findStream    *connect.Client[v1.FindStreamRequest, v1.FindStreamResponse]
+}
+
+// RecordStreams calls control.v1.StreamService.RecordStreams.
+func (c *streamServiceClient) RecordStreams(ctx context.Context, req *connect.Request[v1.RecordStreamsRequest]) (*connect.Response[v1.RecordStreamsResponse], error) {
+	return c.recordStreams.CallUnary(ctx, req)
+}
+
+// FindStream calls control.v1.StreamService.FindStream.
+func (c *streamServiceClient) FindStream(ctx context.Context, req *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error) {
+	return c.findStream.CallUnary(ctx, req)
+}
+
+// StreamServiceHandler is an implementation of the control.v1.StreamService service.
+type StreamServiceHandler interface {
+	RecordStreams(context.Context, *connect.Request[v1.RecordStreamsRequest]) (*connect.Response[v1.RecordStreamsResponse], error)
+	FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error)
+}
+
+// NewStreamServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewStreamServiceHandler(svc StreamServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	streamServiceMethods := v1.File_control_v1_control_proto.Services().ByName("StreamService").Methods()
+	streamServiceRecordStreamsHandler := connect.NewUnaryHandler(
+		StreamServiceRecordStreamsProcedure,
+		svc.RecordStreams,
+		connect.WithSchema(streamServiceMethods.ByName("RecordStreams")),
+		connect.WithHandlerOptions(opts...),
+	)
+	streamServiceFindStreamHandler := connect.NewUnaryHandler(
+		StreamServiceFindStreamProcedure,
+		svc.FindStream,
+		connect.WithSchema(streamServiceMethods.ByName("FindStream")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/control.v1.StreamService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case StreamServiceRecordStreamsProcedure:
+			streamServiceRecordStreamsHandler.ServeHTTP(w, r)
+		case StreamServiceFindStreamProcedure:
+			streamServiceFindStreamHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedStreamServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedStreamServiceHandler struct{}
+
+func (UnimplementedStreamServiceHandler) RecordStreams(context.Context, *connect.Request[v1.RecordStreamsRequest]) (*connect.Response[v1.RecordStreamsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("control.v1.StreamService.RecordStreams is not implemented"))
+}
+
+func (UnimplementedStreamServiceHandler) FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("control.v1.StreamService.FindStream is not implemented"))
+}
--- a/relay/allocate.go
+++ b/relay/allocate.go
@@ -110,7 +110,7 @@
 		Pool: cs.pool.Name, Run: run, Priority: int32(cs.route.Priority), Prefill: cs.prefills == 0,
 	}
 	if cs.origin != nil {
-		in.Started, in.Version = true, cs.origin.Version
+		in.Started, in.Version = true, cs.origin.GetVersion()
 	}
 	for {
 		members := r.members(cs)
--- a/relay/call.go
+++ b/relay/call.go
@@ -153,6 +153,9 @@
 	NoRoute Reason = "no_route"
 	// NoEndpoint means that no endpoint of the route's pool is known.
 	NoEndpoint Reason = "no_endpoint"
+	// UnknownStream means that it is not known where the stream began that the caller
+	// resumes, so that no endpoint may go on with it.
+	UnknownStream Reason = "unknown_stream"
 	// Busy means that the endpoints that were asked had no capacity left.
 	Busy Reason = "busy"
 	// Unreachable means that no connection to an endpoint was made.
@@ -173,7 +176,7 @@
 // NotRun reports whether the reason guarantees that the request has not run.
 func (r Reason) NotRun() bool {
 	switch r {
-	case Unready, Stopping, NoEndpoint, Busy, Unreachable, Expired, Crashing:
+	case Unready, Stopping, NoEndpoint, UnknownStream, Busy, Unreachable, Expired, Crashing:
 		return true
 	}
 	return false
--- a/relay/crashing_part_test.go
+++ b/relay/crashing_part_test.go
@@ -101,6 +101,8 @@
 
 func (c *crashingEngines) Changed() <-chan struct{} { return nil }
 
+func (c *crashingEngines) Versions(string) []string { return []string{""} }
+
 func (c *crashingEngines) Endpoints(string) []*controlv1.Endpoint {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/relay/errors.go
+++ b/relay/errors.go
@@ -105,9 +105,12 @@
 	var dialErr *transport.DialError
 	var crashingPart *CrashingPartError
 	var deferred *DeferredError
+	var unknownOrigin *UnknownOriginError
 	switch {
 	case errors.As(err, &noEndpoint):
 		return NoEndpoint
+	case errors.As(err, &unknownOrigin):
+		return UnknownStream
 	case errors.As(err, &deferred):
 		return Busy
 	case errors.As(err, &crashingPart):
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -96,11 +96,13 @@
 // the first one.
 func (r *Relay) forwardEvent(cs *callState, reply *Reply, event []byte) error {
 	if !cs.started {
+		if cs.origin == nil {
+			r.recordOrigin(cs)
+		}
 		if err := cs.answer.BeginStream(reply); err != nil {
 			return &CallerGoneError{Cause: err}
 		}
 		cs.started, cs.firstSent = true, time.Now()
-		cs.origin = &Origin{Pool: cs.pool.Name, Version: cs.endpoint.Version}
 		r.metrics.First.observe(string(cs.route.Kind), cs.firstSent.Sub(cs.call.Arrived))
 	}
 	if err := cs.answer.WriteEvent(event); err != nil {
--- a/relay/origin.go
+++ b/relay/origin.go
@@ -1,12 +1,112 @@
 package relay
 
-import controlv1 "ebonyreel/proto/control/v1"
+import (
+	"context"
+	"slices"
 
-// Origin is where a stream began. Events of two software versions do not fit together, so
-// that it goes on only at endpoints of the same pool and version.
-type Origin struct {
-	Pool    string
-	Version string
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"ebonyreel/document"
+	controlv1 "ebonyreel/proto/control/v1"
+)
+
+// Streams knows where streams began, so that every entry can go on with them. Events of
+// two software versions do not fit together: a stream goes on only at endpoints of the pool
+// and the version of its origin.
+type Streams interface {
+	// Record records where a stream began. It does not wait.
+	Record(o *controlv1.StreamOrigin)
+	// Find returns the origin of the stream that a request began, or an error where it is
+	// not known.
+	Find(ctx context.Context, request string) (*controlv1.StreamOrigin, error)
+}
+
+// UnknownOriginError reports a stream that its caller resumes and whose origin is not
+// known.
+type UnknownOriginError struct {
+	// Cause is why the origin was not found; nil where the caller does not name the request
+	// that began the stream, which may have begun in several pools or at several versions.
+	Cause error
+}
+
+func (e *UnknownOriginError) Error() string {
+	if e.Cause == nil {
+		return "the caller does not say which request began the stream"
+	}
+	return e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnknownOriginError) Unwrap() error {
+	return e.Cause
+}
+
+// noStreams knows no streams.
+type noStreams struct{}
+
+func (noStreams) Record(*controlv1.StreamOrigin) {}
+
+func (noStreams) Find(context.Context, string) (*controlv1.StreamOrigin, error) {
+	return nil, &UnknownOriginError{}
+}
+
+// SetStreams makes the relay record where streams began, and go on with those that began
+// at other entries. It must be called before the first call is served.
+func (r *Relay) SetStreams(s Streams) {
+	r.streams = s
+}
+
+// findOrigin finds the origin of a stream that its caller resumes. The error is an
+// *UnknownOriginError, or a *NoEndpointError where the route does not lead to that pool any
+// more.
+func (r *Relay) findOrigin(ctx context.Context, cs *callState) error {
+	if cs.call.LastEvent == "" || cs.route.Kind != document.KindStream {
+		return nil
+	}
+	var pools []string
+	for _, s := range cs.route.Split {
+		if s.Weight > 0 {
+			pools = append(pools, s.Name)
+		}
+	}
+	if cs.call.ResumedRequest == "" {
+		return r.inferOrigin(cs, pools)
+	}
+	o, err := r.streams.Find(ctx, cs.call.ResumedRequest)
+	if err != nil {
+		return &UnknownOriginError{Cause: err}
+	}
+	if !slices.Contains(pools, o.GetPool()) {
+		return &NoEndpointError{Pool: o.GetPool()}
+	}
+	cs.origin = o
+	return nil
+}
+
+// inferOrigin sets the origin of a stream whose caller does not name it, where there is
+// only one pool and version.
+func (r *Relay) inferOrigin(cs *callState, pools []string) error {
+	if len(pools) != 1 {
+		return &UnknownOriginError{}
+	}
+	switch versions := r.fleet.Versions(pools[0]); len(versions) {
+	case 0:
+		return &NoEndpointError{Pool: pools[0]}
+	case 1:
+		cs.origin = &controlv1.StreamOrigin{Pool: pools[0], Version: versions[0]}
+		return nil
+	}
+	return &UnknownOriginError{}
+}
+
+// recordOrigin records that a stream begins at the endpoint of the current attempt.
+func (r *Relay) recordOrigin(cs *callState) {
+	cs.origin = &controlv1.StreamOrigin{
+		Request: cs.call.ID, Pool: cs.pool.Name, Version: cs.endpoint.Version, Lifetime: durationpb.New(cs.timeLeft()),
+	}
+	if cs.route.Resumable {
+		r.streams.Record(cs.origin)
+	}
 }
 
 // members returns the endpoints that may serve a call: those of its pool and, for a
@@ -18,7 +118,7 @@
 	}
 	var out []*controlv1.Endpoint
 	for _, e := range all {
-		if e.GetVersion() == cs.origin.Version {
+		if e.GetVersion() == cs.origin.GetVersion() {
 			out = append(out, e)
 		}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -60,6 +60,9 @@
 	Document() *document.Document
 	// Endpoints returns the endpoints of a pool that take work or are lost.
 	Endpoints(pool string) []*controlv1.Endpoint
+	// Versions returns the software versions of the endpoints of a pool, with those that
+	// have left lately.
+	Versions(pool string) []string
 	// Entries returns the number of known entries.
 	Entries() int
 	// Changed returns a channel that is closed at the next change.
@@ -97,6 +100,8 @@
 	runs     runTable
 	// allocator grants engine memory; nil for none.
 	allocator Allocator
+	// streams knows where streams began.
+	streams Streams
 	// draining is true once new streams are refused, as they may last longer than
 	// the process.
 	draining atomic.Bool
@@ -111,7 +116,7 @@
 func New(fleet Fleet, sender Sender, engines Engines, strikes Strikes, domain string, budget RetryBudget, decisions *decision.Log, log *logrus.Entry) *Relay {
 	return &Relay{
 		fleet: fleet, sender: sender, engines: engines, strikes: strikes, domain: domain, budget: budget, decisions: decisions, log: log, metrics: newMetrics(),
-		workload: &workload.Recorder{}, crashReports: make(chan crashReport, crashReportBuffer), random: rand.Float64,
+		workload: &workload.Recorder{}, crashReports: make(chan crashReport, crashReportBuffer), random: rand.Float64, streams: noStreams{},
 	}
 }
 
@@ -152,7 +157,7 @@
 	// attempted are the names of the endpoints that the call was sent to.
 	attempted map[string]bool
 	// origin is where the stream began; nil before the caller has received an event.
-	origin *Origin
+	origin *controlv1.StreamOrigin
 	// started is true once a stream to the caller has started, lastEvent is the ID
 	// of the last event sent to the caller or received before, and eventCount the
 	// number sent.
@@ -213,16 +218,25 @@
 		r.refuse(cs, Refusal{Reason: Crashing, RetryAfter: crashingRetryAfter}, nil)
 		return
 	}
-	cs.pool, _ = d.Pool(pickShare(cs.route.Split))
 	cs.deadline = c.Arrived.Add(time.Duration(cs.route.Timeout))
 	if limit := c.Arrived.Add(c.Timeout); c.Timeout > 0 && limit.Before(cs.deadline) {
 		cs.deadline = limit
 	}
+	ctx, cancel := context.WithDeadline(ctx, cs.deadline)
+	defer cancel()
+	originErr := r.findOrigin(ctx, cs)
+	pool := pickShare(cs.route.Split)
+	if cs.origin != nil {
+		pool = cs.origin.GetPool()
+	}
+	cs.pool, _ = d.Pool(pool)
 	cs.firstArrived = c.Arrived.Add(-r.retryDetector.sinceFirstArrival(cs.route.Name, c.Timeout))
 	r.recordCall(cs)
 	r.retryAccountOf(cs.pool.Name).recordRequest(time.Now(), r.budget)
-	ctx, cancel := context.WithDeadline(ctx, cs.deadline)
-	defer cancel()
+	if originErr != nil {
+		r.endFailed(ctx, cs, originErr)
+		return
+	}
 	r.run(ctx, cs)
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,6 +57,15 @@
 	return out
 }
 
+func (f *staticFleet) Versions(pool string) []string {
+	var out []string
+	for _, e := range f.Endpoints(pool) {
+		out = append(out, e.GetVersion())
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // scriptedEndpoints answers by a script with one line for each attempt.
 type scriptedEndpoints struct {
 	mu     sync.Mutex
@@ -268,6 +278,18 @@
 	return nil, nil
 }
 
+// knownStreams are the origins of streams, by the ID of the request that began them.
+type knownStreams map[string]*controlv1.StreamOrigin
+
+func (k knownStreams) Record(o *controlv1.StreamOrigin) { k[o.GetRequest()] = o }
+
+func (k knownStreams) Find(_ context.Context, request string) (*controlv1.StreamOrigin, error) {
+	if o := k[request]; o != nil {
+		return o, nil
+	}
+	return nil, errors.New("not known")
+}
+
 // recordingCaller records the answers that it gets.
 type recordingCaller struct {
 	mu  sync.Mutex
@@ -335,12 +357,16 @@
 		if d.HasArg("draining") {
 			r.Drain()
 		}
-		lastEvent := ""
+		lastEvent, resumed := "", ""
 		if d.HasArg("last-event") {
 			d.ScanArgs(t, "last-event", &lastEvent)
 		}
+		if d.HasArg("resumes") {
+			d.ScanArgs(t, "resumes", &resumed)
+		}
+		r.SetStreams(knownStreams{"r-known": {Request: "r-known", Pool: "engines"}})
 		c := &Call{
-			LastEvent: lastEvent, ID: "r", Method: http.MethodPost, Host: "desk.example", Path: "/" + d.Cmd + "/1", Target: "/" + d.Cmd + "/1",
+			LastEvent: lastEvent, ResumedRequest: resumed, ID: "r", Method: http.MethodPost, Host: "desk.example", Path: "/" + d.Cmd + "/1", Target: "/" + d.Cmd + "/1",
 			Header: http.Header{}, Arrived: time.Now(),
 		}
 		if d.HasArg("prompt") {
--- a/relay/version_test.go
+++ b/relay/version_test.go
@@ -106,3 +106,63 @@
 		}
 	})
 }
+
+// TestResumedStreamVersion guards against streams that their callers resume at another
+// entry, and that go on at an engine of another software version or pool, or are refused
+// although engines of their version are there.
+func TestResumedStreamVersion(t *testing.T) {
+	for n := range 20 {
+		f := twoVersions(t, 6, 2)
+		synctest.Test(t, func(t *testing.T) {
+			streams := knownStreams{}
+			serve := func(c *Call, script ...string) ([]string, string) {
+				v := &versionedEndpoints{scriptedEndpoints: scriptedEndpoints{script: script}}
+				r := newVersionedRelay(t, f, v)
+				r.SetStreams(streams)
+				out := &recordingCaller{}
+				r.Serve(t.Context(), c, out)
+				return v.versions, out.out.String()
+			}
+			first := fmt.Sprint("r", n)
+			began, _ := serve(newLetter(first), "events 1 2 cut")
+			next := newLetter("next")
+			next.LastEvent, next.ResumedRequest = "2", first
+			went, got := serve(next, "events 3 4 cut", "events 5 6")
+			if len(went) != 2 || went[0] != began[0] || went[1] != began[0] {
+				t.Errorf("stream began at version %s and goes on at %q", began[0], went)
+			}
+			if want := "begin\nevent 3\nevent 4\nevent 5\nevent 6\n"; got != want {
+				t.Error(got)
+			}
+			streams[first].Pool = "desk"
+			if went, got = serve(next, "events 3 4"); len(went) > 0 {
+				t.Errorf("stream of a pool that the route does not lead to goes on: %s", got)
+			}
+		})
+	}
+}
+
+// TestUnnamedStreamVersion guards against streams that go on at any version because their
+// callers do not say which request began them.
+func TestUnnamedStreamVersion(t *testing.T) {
+	for _, k := range []struct {
+		decode int
+		want   string
+	}{
+		{decode: 1, want: "begin\nevent 3\n"},
+		{decode: 2, want: "refused unknown_stream not-run=true retry-after=500ms\n"},
+		{decode: 0, want: "refused no_endpoint not-run=true retry-after=500ms\n"},
+	} {
+		f := twoVersions(t, k.decode, 0)
+		synctest.Test(t, func(t *testing.T) {
+			v := &versionedEndpoints{scriptedEndpoints: scriptedEndpoints{script: []string{"events 3"}}}
+			out := &recordingCaller{}
+			c := newLetter("r")
+			c.LastEvent = "2"
+			newVersionedRelay(t, f, v).Serve(t.Context(), c, out)
+			if out.out.String() != k.want {
+				t.Errorf("%d engines: %s", k.decode, out.out.String())
+			}
+		})
+	}
+}
