Let an answer of our own protocol go on only at the version that began it

An agent announces the version that its endpoint has loaded, and the entry placed another attempt of an answer, after its endpoint had failed, at any member that serves the model. While a new version is loaded endpoint by endpoint, callers could get tokens of two.

Change: the version of the endpoint that sent the first token is kept with the answer, and only members of that version are candidates from then on, to decode and to prefill. Where there is none, the answer ends with the error event, as before when no endpoint is left.

Ruled out: callers of this protocol do not resume answers at other entries.

Evidence: TestAnswerKeepsVersion. TestRequestSurvives, whose endpoints have one version, passes as before. Not shown with real programs of two versions.

Left: a first attempt may still decode at one version what another one prefilled; there the decode endpoint cannot compute the prompt itself.

--- a/entry/generation.go
+++ b/entry/generation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -42,6 +43,8 @@
 	maxTokens    int
 	answer       *callers.AnswerWriter
 	progress     attempt.Progress
+	// version is that of the endpoint that sent the first token; unset before.
+	version string
 	// attemptNumber is the number of the current attempt, starting at one.
 	attemptNumber uint32
 	// digest identifies the content: caller, model and prompt.
@@ -180,7 +183,7 @@
 // candidates returns the members that serve the model of a generation in a
 // role, without those where the call failed if others are left.
 func (s *Server) candidates(g *generation, role controlv1.Role) candidateList {
-	members := s.view.Members(controls.MemberGroup{Serves: g.model.Name, Role: role})
+	members := g.sameVersion(s.view.Members(controls.MemberGroup{Serves: g.model.Name, Role: role}))
 	name := endpoints.RolePrefill
 	if role == controlv1.Role_ROLE_DECODE {
 		name = endpoints.RoleDecode
@@ -188,6 +191,15 @@
 	return candidateList{members: g.preferred(members), all: members, agents: s.agents, role: name}
 }
 
+// sameVersion returns the members that may go on with an answer: once its first token is
+// sent, those of the version that it began with.
+func (g *generation) sameVersion(members []*controlv1.Member) []*controlv1.Member {
+	if g.progress.Sent == 0 {
+		return members
+	}
+	return slices.DeleteFunc(slices.Clone(members), func(m *controlv1.Member) bool { return m.GetVersion() != g.version })
+}
+
 // prefill computes the prompt at the prefill endpoint that reservePrefill
 // selects. The returned peer is nil if none was reserved.
 func (s *Server) prefill(ctx context.Context, g *generation, at *agentv1.Attempt) (*agentv1.KvHandle, *agents.Peer, error) {
@@ -264,6 +276,9 @@
 		m := stream.Msg()
 		imported = imported || m.GetImported()
 		memory.peer.RecordLoad(m.GetLoad())
+		if g.progress.Sent == 0 {
+			g.version = memory.version
+		}
 		ended, err := g.relay(m)
 		if ended || err != nil {
 			return imported, err
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -32,6 +32,8 @@
 	// reservation is the number that the agent gave the reservation; zero means
 	// that a prompt queues at the engine without one.
 	reservation uint64
+	// version is that of the endpoint.
+	version string
 }
 
 // reserveResult is the answer of one agent to a reservation request. With an
@@ -226,7 +228,7 @@
 		// The agent may have sent a grant that was not received.
 		released.add(p.Name, s.agents.ReleaseNow(p, at))
 	}
-	results <- reserveResult{grant: grant{peer: p, reservation: id}, err: err}
+	results <- reserveResult{grant: grant{peer: p, reservation: id, version: m.GetVersion()}, err: err}
 }
 
 // awaitGrant waits in the queue of one agent and returns the number of the granted
