Decode only what an engine of the same version has computed

A prefill result is written by one engine and read by another: where versions serve side by side, both the grants of control and the entries paired them at random (in the one request shown, prefill at v1.1 and decoding at v1.2).

Change: control grants a decode engine together with the prefill engine of its version that has the least work, so that requests do not wait for the prefill engines of one version while those of another are free; an entry has the prompt computed at the version of its reservation, with and without control. An engine whose version has no prefill engine computes the prompt itself, and is chosen after others (noPrefillCost).

The call in the simulation test follows the new signature.

--- a/allocation/pool.go
+++ b/allocation/pool.go
@@ -35,6 +35,9 @@
 	// engine there.
 	otherDomainCost  = 0.03
 	otherDomainDelay = 10 * time.Millisecond
+	// noPrefillCost is added to the load of an engine that has to compute the prompt
+	// itself, between the tokens of its runs, while engines of other versions do not.
+	noPrefillCost = 0.25
 	// maxBlocked bounds the requests that are tried without success in one round.
 	maxBlocked = 32
 )
@@ -287,13 +290,7 @@
 // place grants memory to a request, or returns the name of the engine that will
 // first have room for it; empty where there is none.
 func (p *Pool) place(r *Request, earmarked map[string]bool, now time.Time) (*Grant, string) {
-	prefill := ""
-	if r.Prefill && len(p.prefilling) > 0 {
-		var wait time.Duration
-		if prefill, wait = p.leastBacklog(r, now); wait > maxPrefillWait {
-			return nil, ""
-		}
-	}
+	prefills := p.leastBacklogs(r, now)
 	var own forecast
 	own.add(r.PromptTokens, r.Output, -p.tokensIn(p.Speeds.Start), p.stepTokens())
 	var best, blockedBest *engineState
@@ -301,13 +298,17 @@
 	n := len(p.decoding)
 	for i := range min(n, sampleSize) {
 		s := p.engines[p.decoding[(p.scan+i)%n]]
-		if earmarked[s.Name] || now.Before(s.avoidUntil) || !r.mayDecodeAt(s.Engine) {
+		prefill := prefills[s.Version]
+		if earmarked[s.Name] || now.Before(s.avoidUntil) || !r.mayDecodeAt(s.Engine) || prefill.wait > maxPrefillWait {
 			continue
 		}
 		load := p.forecastOf(s, now).peak(&own) / float64(max(p.Memory, 1))
 		if s.FailureDomain != r.FailureDomain {
 			load += otherDomainCost
 		}
+		if prefill.engine == "" && len(prefills) > 0 {
+			load += noPrefillCost
+		}
 		fits := load <= 1 || len(s.runs) == 0
 		switch {
 		case (!fits || len(s.runs) >= p.Slots) && load < blockedLeast:
@@ -325,6 +326,7 @@
 		}
 		return nil, blockedBest.Name
 	}
+	prefill := prefills[best.Version].engine
 	if prefill != "" {
 		p.engines[prefill].backlog.add(r.ID, r.PromptTokens, now)
 	}
@@ -337,10 +339,21 @@
 	return (!r.Started || e.Version == r.Version) && !slices.Contains(r.Excluded, e.Name)
 }
 
-// leastBacklog returns the prefill engine that would compute the prompt of a request
-// first, and how long it would take to begin.
-func (p *Pool) leastBacklog(r *Request, now time.Time) (string, time.Duration) {
-	best, least := "", time.Duration(math.MaxInt64)
+// prefillChoice is the prefill engine that would compute a prompt first, and how long it
+// would take to begin.
+type prefillChoice struct {
+	engine string
+	wait   time.Duration
+}
+
+// leastBacklogs returns the choice among the prefill engines of each version, as an engine
+// decodes only what one of its own version has computed. It is empty where no prefill
+// engine computes the prompt of the request.
+func (p *Pool) leastBacklogs(r *Request, now time.Time) map[string]prefillChoice {
+	out := map[string]prefillChoice{}
+	if !r.Prefill {
+		return out
+	}
 	for _, name := range p.prefilling {
 		s := p.engines[name]
 		wait := s.backlog.wait(p.Speeds.PrefillPerToken, now)
@@ -350,11 +363,11 @@
 		if s.FailureDomain != r.FailureDomain {
 			wait += otherDomainDelay
 		}
-		if wait < least {
-			best, least = name, wait
+		if best, ok := out[s.Version]; !ok || wait < best.wait {
+			out[s.Version] = prefillChoice{engine: name, wait: wait}
 		}
 	}
-	return best, least
+	return out
 }
 
 func (p *Pool) addRun(r *run) {
--- a/allocation/simulation_test.go
+++ b/allocation/simulation_test.go
@@ -319,7 +319,7 @@
 	if s.pool.Waiting() == 0 {
 		return
 	}
-	if _, wait := s.pool.leastBacklog(s.pool.waiting.requests[0], s.now); wait <= maxPrefillWait {
+	if s.pool.leastBacklogs(s.pool.waiting.requests[0], s.now)[""].wait <= maxPrefillWait {
 		s.result.use += total / float64(engines*s.pool.Memory)
 		s.result.useSamples++
 	}
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -171,7 +171,7 @@
 	err := r.recheckParts(cs)
 	// A trial uses one engine only.
 	if err == nil && cs.trial == nil && r.usesPrefillEngine(ctx, cs) {
-		h = r.prefill(ctx, cs, s.prefillEngine)
+		h = r.prefill(ctx, cs, s)
 		r.endPrefill(cs, s, h.At.Name != s.prefillEngine)
 		err = r.recheckParts(cs)
 	}
@@ -363,15 +363,15 @@
 	return r.chargeRetry(cs, retryFailed)
 }
 
-// prefill has a prefill engine compute the prompt, first the suggested one. The zero
-// Handle means that none did, so that the decode engine computes it.
-func (r *Relay) prefill(ctx context.Context, cs *callState, suggested string) Handle {
-	asked := map[string]bool{}
+// prefill has a prefill engine compute the prompt for the engine of a reservation, first the
+// suggested one. The zero Handle means that none did, so that the decode engine computes it.
+func (r *Relay) prefill(ctx context.Context, cs *callState, s reservation) Handle {
+	asked, suggested := map[string]bool{}, s.prefillEngine
 	for i := range maxPrefillAttempts {
 		if i > 0 && !r.chargeRetry(cs, retryFailed) {
 			break
 		}
-		h, err := r.tryPrefill(ctx, cs, asked, suggested)
+		h, err := r.tryPrefill(ctx, cs, asked, suggested, s.endpoint.GetVersion())
 		suggested = ""
 		var notRun *NotRunError
 		if !errors.As(err, &notRun) {
@@ -381,11 +381,11 @@
 	return Handle{}
 }
 
-// tryPrefill has one prefill engine compute the prompt, preferably one that was
-// not asked before. The error tells why there is no result.
-func (r *Relay) tryPrefill(ctx context.Context, cs *callState, asked map[string]bool, suggested string) (Handle, error) {
+// tryPrefill has one prefill engine of a version compute the prompt, preferably one that
+// was not asked before. The error tells why there is no result.
+func (r *Relay) tryPrefill(ctx context.Context, cs *callState, asked map[string]bool, suggested, version string) (Handle, error) {
 	weight := float64(cs.call.Prompt.Tokens)
-	members := r.fleet.Endpoints(cs.pool.Name)
+	members := ofVersion(r.fleet.Endpoints(cs.pool.Name), version)
 	c := criteria{
 		now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_PREFILL, weight: weight, attempted: asked, suggested: suggested, entries: r.fleet.Entries,
 	}
--- a/relay/origin.go
+++ b/relay/origin.go
@@ -116,9 +116,14 @@
 	if cs.origin == nil {
 		return all
 	}
+	return ofVersion(all, cs.origin.GetVersion())
+}
+
+// ofVersion returns the endpoints of a version.
+func ofVersion(all []*controlv1.Endpoint, version string) []*controlv1.Endpoint {
 	var out []*controlv1.Endpoint
 	for _, e := range all {
-		if e.GetVersion() == cs.origin.GetVersion() {
+		if e.GetVersion() == version {
 			out = append(out, e)
 		}
 	}
--- a/relay/version_test.go
+++ b/relay/version_test.go
@@ -20,6 +20,8 @@
 type versionedEndpoints struct {
 	scriptedEndpoints
 	versions []string
+	// prefills are the versions of the engines that computed prompts.
+	prefills []string
 	// onSend is called with each attempt; it may be nil.
 	onSend func(Attempt)
 }
@@ -34,6 +36,13 @@
 	return v.scriptedEndpoints.Send(ctx, c, t)
 }
 
+func (v *versionedEndpoints) Prefill(ctx context.Context, c *Call, t Attempt) (Handle, error) {
+	v.mu.Lock()
+	v.prefills = append(v.prefills, t.Endpoint.Version)
+	v.mu.Unlock()
+	return v.scriptedEndpoints.Prefill(ctx, c, t)
+}
+
 // twoVersions returns engines of which every other one has another version.
 func twoVersions(t *testing.T, decode, prefill int) *staticFleet {
 	t.Helper()
@@ -166,3 +175,28 @@
 		})
 	}
 }
+
+// TestPrefillKeepsVersion guards against prompts that an engine of another software version
+// computes than the one that decodes, while entries choose without control.
+func TestPrefillKeepsVersion(t *testing.T) {
+	for n := range 20 {
+		f := twoVersions(t, 4, 4)
+		synctest.Test(t, func(t *testing.T) {
+			v := &versionedEndpoints{scriptedEndpoints: scriptedEndpoints{script: []string{"events 1"}}}
+			newVersionedRelay(t, f, v).Serve(t.Context(), newLetter(fmt.Sprint("r", n)), &recordingCaller{})
+			if len(v.prefills) != 1 || v.prefills[0] != v.versions[0] {
+				t.Errorf("prompt computed at versions %q and decoded at %q", v.prefills, v.versions)
+			}
+		})
+	}
+	f := twoVersions(t, 2, 1)
+	f.endpoints = f.endpoints[1:]
+	synctest.Test(t, func(t *testing.T) {
+		v := &versionedEndpoints{scriptedEndpoints: scriptedEndpoints{script: []string{"events 1"}}}
+		out := &recordingCaller{}
+		newVersionedRelay(t, f, v).Serve(t.Context(), newLetter("r"), out)
+		if len(v.prefills) != 0 || out.out.String() != "begin\nevent 1\n" {
+			t.Errorf("prefills at %q without an engine of the version: %s", v.prefills, out.out.String())
+		}
+	})
+}
