--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -51,10 +51,7 @@
 		entries = append(entries, startPlatformEntry(c, fmt.Sprintf("entry-%d", i)))
 	}
 	for _, e := range entries {
-		eventually(t, 15*time.Second, e.name+" serves", func() bool {
-			begun, _ := platformCall(t.Context(), e, "warm-"+e.name+fmt.Sprint(time.Now().UnixNano()), "warm")
-			return begun
-		})
+		awaitStreams(t, e)
 	}
 	start := time.Now()
 	var mu sync.Mutex
