Keep streams at other entries while control hosts do not answer

Cause: control was the only place besides the entry that began the stream.

Change: what a control host does not take within 250 ms is recorded at up to three entries too, and from then on at once, until the host answers again. Entries choose them by the same hash over the membership. One that is asked to go on asks control first, and 50 ms later these entries as well. Without trouble no entry calls another. The register is a package of its own (streams), served by control hosts and, on the new optional address Peers, by entries; members announce that address. Silence is still never taken for a version.

Weighed: copies at entries for each stream (two more calls for each at 400 entries, for what control keeps anyway); asking all entries (400).

--- a/cmd/control/command.go
+++ b/cmd/control/command.go
@@ -15,9 +15,13 @@
 	"ebonyreel/proto/control/v1/controlv1connect"
 	"ebonyreel/proto/replica/v1/replicav1connect"
 	"ebonyreel/settings"
+	"ebonyreel/streams"
 	"ebonyreel/transport"
 )
 
+// maxStreams bounds the streams whose origins a control host keeps.
+const maxStreams = 200_000
+
 func newCommand() *cobra.Command {
 	var file string
 	c := &cobra.Command{
@@ -65,7 +69,7 @@
 		platform.NewConfigHandler(g, s.Environment, log).Add(routes)
 		allocator := control.NewAllocator(store, s.Environment, log)
 		routes.Handle(controlv1connect.NewAllocationServiceHandler(allocator, connect.WithInterceptors(security.CheckKey)))
-		routes.Handle(controlv1connect.NewStreamServiceHandler(control.NewStreams(), connect.WithInterceptors(security.CheckKey)))
+		routes.Handle(controlv1connect.NewStreamServiceHandler(streams.NewRegister(maxStreams), connect.WithInterceptors(security.CheckKey)))
 		go allocator.Run(ctx)
 		go control.NewBalancer(store, platform.NewEndpointClient(), allocator, s.Environment, time.Duration(s.OrderPause), log).Run(ctx)
 	}
--- a/cmd/entry/command.go
+++ b/cmd/entry/command.go
@@ -117,9 +117,7 @@
 	process.PublishMetric("View", view.Metrics())
 	process.PublishMetric("LogLinesDropped", logs.Dropped(log))
 	go process.ServeMetrics(ctx, s.Metrics, log)
-	failed := make(chan error, 2)
-	go func() { failed <- transport.ServeSecure(ctx, front.callers, s.Callers, r.certificates) }()
-	go func() { failed <- transport.ServeSecure(ctx, front.operators, s.Operators, r.security.Certificates) }()
+	servers, failed := front.serve(ctx, s, r)
 	log.WithFields(logrus.Fields{"Callers": s.Callers.String(), "Protocol": s.Protocol}).Info("started")
 	select {
 	case err := <-failed:
@@ -133,7 +131,7 @@
 		log.WithError(err).Warn("leave failed, the lease will lapse")
 	}
 	log.Info("left the membership")
-	process.Shutdown(log, front.callers, front.operators)
+	process.Shutdown(log, servers...)
 	log.Info("stopped")
 	r.decisions.Close()
 	return r.tracer.Close(ctx)
@@ -165,11 +163,25 @@
 type frontEnd struct {
 	callers   *http.Server
 	operators *http.Server
+	// peers serves other entries; nil for none.
+	peers *http.Server
 	// stop begins a planned stop: it makes the entry unready and returns once the
 	// servers may be shut down.
 	stop func(ctx context.Context)
 }
 
+// serve starts the servers. It returns them, and a channel for the error of one that fails.
+func (f frontEnd) serve(ctx context.Context, s settings.Entry, r *resources) ([]*http.Server, <-chan error) {
+	servers, failed := []*http.Server{f.callers, f.operators}, make(chan error, 3)
+	go func() { failed <- transport.ServeSecure(ctx, f.callers, s.Callers, r.certificates) }()
+	go func() { failed <- transport.ServeSecure(ctx, f.operators, s.Operators, r.security.Certificates) }()
+	if f.peers != nil && s.Peers.IsValid() {
+		servers = append(servers, f.peers)
+		go func() { failed <- transport.ServeSecure(ctx, f.peers, s.Peers, r.security.Certificates) }()
+	}
+	return servers, failed
+}
+
 // openAIFrontEnd returns the front end for the protocol OpenAI.
 func (p components) openAIFrontEnd(ctx context.Context, stop func()) (frontEnd, error) {
 	policy, _ := placement.New(p.settings.Policy)
@@ -186,7 +198,7 @@
 
 // member returns the entry as a member of its environment, for announcements.
 func member(s settings.Entry) *controlv1.Member {
-	return &controlv1.Member{
+	m := &controlv1.Member{
 		Environment:   s.Environment,
 		Name:          s.Name,
 		Address:       s.Operators.String(),
@@ -195,6 +207,10 @@
 		State:         controlv1.MemberState_MEMBER_STATE_SERVING,
 		DocumentLevel: document.Level,
 	}
+	if s.Protocol == settings.Platform && s.Peers.IsValid() {
+		m.PeerAddress = s.Peers.String()
+	}
+	return m
 }
 
 // operatorRoutes returns the routes on the address for operators. They are the
--- a/cmd/entry/platform.go
+++ b/cmd/entry/platform.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"ebonyreel/controls"
 	"ebonyreel/entry"
 	"ebonyreel/platform"
+	"ebonyreel/proto/control/v1/controlv1connect"
 	"ebonyreel/relay"
 	"ebonyreel/transport"
 )
@@ -22,12 +26,16 @@
 	allocations := controls.NewAllocations(p.client, member(s), p.log)
 	go allocations.RunReleases(ctx)
 	r.SetAllocator(allocations)
-	r.SetStreams(controls.NewStreams(p.client, s.Environment, p.log))
+	streams := controls.NewStreams(p.client, p.view, s.Peers, s.Environment, p.log)
+	r.SetStreams(streams)
 	p.announcer.SetPoolObserver(r)
 	gate := entry.NewGate(p.view, p.log)
 	m := p.operatorRoutes(r, gate.ServeReady, "Relay", r.Metrics(), stop)
 	platform.AddReadiness(m, gate.Ready)
+	peers := http.NewServeMux()
+	peers.Handle(controlv1connect.NewStreamServiceHandler(streams.Register(), connect.WithInterceptors(p.resources.security.CheckKey)))
 	return frontEnd{
+		peers:     transport.NewServer(peers),
 		callers:   transport.NewCallersServer(platform.NewCallerHandler(r, p.view.Document, gate.Draining, p.log)),
 		operators: transport.NewServer(m),
 		stop: func(ctx context.Context) {
--- a/controls/streams.go
+++ b/controls/streams.go
@@ -14,25 +14,29 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"ebonyreel/clock"
 	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/proto/control/v1/controlv1connect"
+	"ebonyreel/streams"
+	"ebonyreel/transport"
 )
 
 const (
-	// streamCopies is the number of control hosts that keep the origin of a stream.
+	// streamCopies is the number of control hosts that keep the origin of a stream, and the
+	// number of entries that do where a control host does not answer.
 	streamCopies = 3
-	// recordStreamsTimeout bounds a call that records streams at a host, and
-	// recordStreamsInterval is the time until a failed one is made again.
-	recordStreamsTimeout  = 500 * time.Millisecond
+	// recordStreamsTimeout bounds a call that records streams, and recordStreamsInterval is
+	// the time until a failed one is made again.
+	recordStreamsTimeout  = 250 * time.Millisecond
 	recordStreamsInterval = 100 * time.Millisecond
 	// findStreamTimeout bounds the search for the origin of a stream. Its record may
-	// arrive shortly after the request that resumes the stream, so that the hosts are asked
-	// findStreamRounds times, each findStreamInterval later.
+	// arrive shortly after the request that resumes the stream, so that the keepers are
+	// asked findStreamRounds times, each findStreamInterval later.
 	findStreamTimeout  = 300 * time.Millisecond
 	findStreamRounds   = 3
 	findStreamInterval = 50 * time.Millisecond
-	// maxKeptStreams bounds the origins that an entry keeps itself, and maxQueuedStreams
-	// those that it has still to record at one host.
+	// maxKeptStreams bounds the origins that an entry keeps, of its own streams and of
+	// those of other entries each, and maxQueuedStreams those that it has still to record
+	// at one keeper.
 	maxKeptStreams   = 16 << 10
 	maxQueuedStreams = 4 << 10
 )
@@ -40,65 +44,95 @@
 // UnknownStreamError reports a stream that cannot go on here, as it is not known where it
 // began.
 type UnknownStreamError struct {
-	// Request is the ID of the request that began the stream; empty where the caller did not
-	// say.
+	// Request is the ID of the request that began the stream.
 	Request string
-	// Asked is the number of control hosts asked, and Answered the number that answered.
-	Asked    int
-	Answered int
+	// Calls is the number of calls to control hosts and entries, and Answers the number of
+	// those that were answered in time.
+	Calls   int
+	Answers int
 }
 
 func (e *UnknownStreamError) Error() string {
-	return fmt.Sprintf("origin of the stream of request %.40q is not known, %d of %d control hosts answered", e.Request, e.Answered, e.Asked)
+	return fmt.Sprintf("origin of the stream of request %.40q is not known, %d of %d calls were answered", e.Request, e.Answers, e.Calls)
 }
 
-// Streams records at several control hosts where streams began, and finds it for streams
-// that began at another entry. It is safe for concurrent use.
+// EntryPeers knows the other entries.
+type EntryPeers interface {
+	// EntryPeers returns the addresses of entries for other entries, in no order.
+	EntryPeers() []netip.AddrPort
+}
+
+// Streams records where streams began at several control hosts, and at other entries while
+// control hosts do not answer, and finds it for streams that began at another entry. It is
+// safe for concurrent use.
 type Streams struct {
-	client      *Client
+	client *Client
+	peers  EntryPeers
+	// own is the address of this entry for others.
+	own         netip.AddrPort
 	environment string
 	log         *logrus.Entry
+	// register keeps streams for other entries.
+	register *streams.Register
 
 	mu sync.Mutex
 	// kept holds the streams that began or went on at this entry, by the ID of the request
 	// that began them.
-	kept    map[string]keptStream
+	kept    map[string]*keptStream
 	sweptAt time.Time
-	// queues holds what is still to be recorded at each host. A host has a queue while a
-	// goroutine sends it.
-	queues map[netip.AddrPort][]keptStream
+	// queues holds what is still to be recorded at each keeper. A keeper has a queue while a
+	// goroutine sends it, and is in failing while its last call failed.
+	queues  map[netip.AddrPort][]*keptStream
+	failing map[netip.AddrPort]bool
+	// peerClients is keyed by address.
+	peerClients map[netip.AddrPort]controlv1connect.StreamServiceClient
 }
 
 type keptStream struct {
 	origin *controlv1.StreamOrigin
 	// expiresAt is when the caller can no longer resume the stream.
 	expiresAt time.Time
+	// atPeers is true once the stream is to be recorded at other entries. Streams.mu guards
+	// it.
+	atPeers bool
+}
+
+// streamKeeper is a control host or an entry that keeps streams.
+type streamKeeper struct {
+	address netip.AddrPort
+	client  controlv1connect.StreamServiceClient
 }
 
-// NewStreams returns the streams of an entry.
-func NewStreams(c *Client, environment string, log *logrus.Entry) *Streams {
-	return &Streams{client: c, environment: environment, log: log, kept: map[string]keptStream{}, queues: map[netip.AddrPort][]keptStream{}}
+// NewStreams returns the streams of an entry, whose own address for other entries may be
+// unset.
+func NewStreams(c *Client, peers EntryPeers, own netip.AddrPort, environment string, log *logrus.Entry) *Streams {
+	return &Streams{
+		client: c, peers: peers, own: own, environment: environment, log: log, register: streams.NewRegister(maxKeptStreams), kept: map[string]*keptStream{},
+		queues: map[netip.AddrPort][]*keptStream{}, failing: map[netip.AddrPort]bool{}, peerClients: map[netip.AddrPort]controlv1connect.StreamServiceClient{},
+	}
+}
+
+// Register returns the register that this entry keeps for others.
+func (s *Streams) Register() *streams.Register {
+	return s.register
 }
 
 // Record records where a stream began. It does not wait.
 func (s *Streams) Record(o *controlv1.StreamOrigin) {
-	hosts := s.client.streamHosts(o.GetRequest())
+	hosts, peers := s.keepers(o.GetRequest())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.keep(o)
 	for _, h := range hosts[:min(len(hosts), streamCopies)] {
-		queue, sending := s.queues[h.address]
-		if len(queue) < maxQueuedStreams {
-			s.queues[h.address] = append(queue, k)
-		}
-		if !sending {
-			go s.send(h)
+		s.enqueue(h, k)
+		if s.failing[h.address] {
+			s.enqueueAtPeers(peers, k)
 		}
 	}
 }
 
 // keep keeps a stream at this entry. s.mu must be held.
-func (s *Streams) keep(o *controlv1.StreamOrigin) keptStream {
+func (s *Streams) keep(o *controlv1.StreamOrigin) *keptStream {
 	now := time.Now()
 	if now.Sub(s.sweptAt) >= time.Second {
 		s.sweptAt = now
@@ -108,39 +142,64 @@
 			}
 		}
 	}
-	k := keptStream{origin: o, expiresAt: now.Add(o.GetLifetime().AsDuration())}
+	k := &keptStream{origin: o, expiresAt: now.Add(o.GetLifetime().AsDuration())}
 	if len(s.kept) < maxKeptStreams {
 		s.kept[o.GetRequest()] = k
 	}
 	return k
 }
 
-// send records the queue of a host until it is empty, or control no longer reports the
-// host.
-func (s *Streams) send(h host) {
-	for s.client.knows(h.address) {
-		batch := s.take(h.address)
+// enqueue queues a stream for a keeper. s.mu must be held.
+func (s *Streams) enqueue(to streamKeeper, k *keptStream) {
+	queue, sending := s.queues[to.address]
+	if len(queue) < maxQueuedStreams {
+		s.queues[to.address] = append(queue, k)
+	}
+	if !sending {
+		go s.send(to)
+	}
+}
+
+// enqueueAtPeers queues a stream for other entries, once. s.mu must be held.
+func (s *Streams) enqueueAtPeers(peers []streamKeeper, k *keptStream) {
+	if k.atPeers {
+		return
+	}
+	k.atPeers = true
+	for _, p := range peers[:min(len(peers), streamCopies)] {
+		s.enqueue(p, k)
+	}
+}
+
+// send records the queue of a keeper until it is empty, or the keeper is gone.
+func (s *Streams) send(to streamKeeper) {
+	for s.client.knows(to.address) || slices.Contains(s.peers.EntryPeers(), to.address) {
+		batch := s.take(to.address)
 		if batch == nil {
 			return
 		}
-		if err := s.recordAt(h, batch); err != nil {
-			s.log.WithError(err).WithFields(logrus.Fields{"Host": h.address.String(), "Streams": len(batch)}).Debug("origins of streams not recorded, trying again")
-			s.putBack(h.address, batch)
-			time.Sleep(recordStreamsInterval)
+		err := s.recordAt(to, batch)
+		if err == nil {
+			s.recorded(to.address)
+			continue
 		}
+		s.log.WithError(err).WithFields(logrus.Fields{"At": to.address.String(), "Streams": len(batch)}).Debug("origins of streams not recorded, trying again")
+		s.putBack(to, batch)
+		time.Sleep(recordStreamsInterval)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.queues, h.address)
+	delete(s.queues, to.address)
+	delete(s.failing, to.address)
 }
 
-// take empties the queue of a host and returns what callers may still resume. Where there
+// take empties the queue of a keeper and returns what callers may still resume. Where there
 // is nothing, the queue is removed.
-func (s *Streams) take(a netip.AddrPort) []keptStream {
+func (s *Streams) take(a netip.AddrPort) []*keptStream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	batch := slices.DeleteFunc(s.queues[a], func(k keptStream) bool { return !now.Before(k.expiresAt) })
+	batch := slices.DeleteFunc(s.queues[a], func(k *keptStream) bool { return !now.Before(k.expiresAt) })
 	if len(batch) == 0 {
 		delete(s.queues, a)
 		return nil
@@ -149,14 +208,30 @@
 	return batch
 }
 
-func (s *Streams) putBack(a netip.AddrPort, batch []keptStream) {
+func (s *Streams) recorded(a netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	queue := append(batch, s.queues[a]...)
-	s.queues[a] = queue[:min(len(queue), maxQueuedStreams)]
+	delete(s.failing, a)
 }
 
-func (s *Streams) recordAt(h host, batch []keptStream) error {
+// putBack queues a batch again that a keeper has not recorded. Where that is a control host,
+// other entries keep the streams as well.
+func (s *Streams) putBack(to streamKeeper, batch []*keptStream) {
+	isHost := s.client.knows(to.address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing[to.address] = true
+	queue := append(batch, s.queues[to.address]...)
+	s.queues[to.address] = queue[:min(len(queue), maxQueuedStreams)]
+	if !isHost {
+		return
+	}
+	for _, k := range batch {
+		s.enqueueAtPeers(s.peerKeepers(k.origin.GetRequest()), k)
+	}
+}
+
+func (s *Streams) recordAt(to streamKeeper, batch []*keptStream) error {
 	r := &controlv1.RecordStreamsRequest{Environment: s.environment}
 	for _, k := range batch {
 		r.Streams = append(r.Streams, &controlv1.StreamOrigin{
@@ -165,41 +240,51 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), recordStreamsTimeout)
 	defer cancel()
-	_, err := h.streams.RecordStreams(ctx, connect.NewRequest(r))
+	_, err := to.client.RecordStreams(ctx, connect.NewRequest(r))
 	return err
 }
 
 // Find returns the origin of the stream that a request began. The error is an
 // *UnknownStreamError.
 func (s *Streams) Find(ctx context.Context, request string) (*controlv1.StreamOrigin, error) {
-	unknown := &UnknownStreamError{Request: request}
-	if request == "" {
-		return nil, unknown
-	}
-	if o := s.find(request); o != nil {
+	if o := s.findHere(request); o != nil {
 		return o, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, findStreamTimeout)
 	defer cancel()
-	hosts := s.client.streamHosts(request)
-	for range findStreamRounds {
-		o, answered := s.ask(ctx, request, hosts)
-		if o != nil {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.keep(o)
-			return o, nil
-		}
-		unknown.Asked, unknown.Answered = len(hosts), max(unknown.Answered, answered)
-		if !clock.Sleep(ctx, findStreamInterval) {
-			break
+	hosts, peers := s.keepers(request)
+	q := &streamQuery{environment: s.environment, request: request, log: s.log, answers: make(chan streamAnswer)}
+	round := time.NewTimer(0)
+	defer round.Stop()
+	for rounds := 0; rounds < findStreamRounds || q.open > 0; {
+		select {
+		case <-ctx.Done():
+			return nil, q.unknown()
+		case <-round.C:
+			q.ask(ctx, hosts)
+			if rounds > 0 {
+				q.ask(ctx, peers)
+			}
+			if rounds++; rounds < findStreamRounds {
+				round.Reset(findStreamInterval)
+			}
+		case a := <-q.answers:
+			if o := q.receive(a); o != nil {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.keep(o)
+				return o, nil
+			}
 		}
 	}
-	return nil, unknown
+	return nil, q.unknown()
 }
 
-// find returns the origin of a stream that this entry keeps, or nil.
-func (s *Streams) find(request string) *controlv1.StreamOrigin {
+// findHere returns the origin of a stream that this entry keeps, or nil.
+func (s *Streams) findHere(request string) *controlv1.StreamOrigin {
+	if o := s.register.Find(s.environment, request); o != nil {
+		return o
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if k, ok := s.kept[request]; ok && time.Now().Before(k.expiresAt) {
@@ -208,56 +293,107 @@
 	return nil
 }
 
-// ask asks hosts together for the origin of a stream and returns the first that is known,
-// or nil, and the number of hosts that answered.
-func (s *Streams) ask(ctx context.Context, request string, hosts []host) (*controlv1.StreamOrigin, int) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type answer struct {
-		origin *controlv1.StreamOrigin
-		err    error
-	}
-	answers := make(chan answer, len(hosts))
-	for _, h := range hosts {
+// streamQuery is the search for the origin of one stream.
+type streamQuery struct {
+	environment string
+	request     string
+	log         *logrus.Entry
+	answers     chan streamAnswer
+	// calls is the number of calls made, open those without an answer yet, and answered
+	// those that did not fail.
+	calls    int
+	open     int
+	answered int
+}
+
+type streamAnswer struct {
+	origin *controlv1.StreamOrigin
+	err    error
+}
+
+// ask asks keepers for the origin until the context ends.
+func (q *streamQuery) ask(ctx context.Context, keepers []streamKeeper) {
+	for _, k := range keepers {
+		q.calls, q.open = q.calls+1, q.open+1
 		go func() {
-			res, err := h.streams.FindStream(ctx, connect.NewRequest(&controlv1.FindStreamRequest{Environment: s.environment, Request: request}))
-			if err != nil {
-				answers <- answer{err: err}
-				return
+			res, err := k.client.FindStream(ctx, connect.NewRequest(&controlv1.FindStreamRequest{Environment: q.environment, Request: q.request}))
+			a := streamAnswer{err: err}
+			if err == nil {
+				a.origin = res.Msg.GetStream()
+			}
+			select {
+			case q.answers <- a:
+			case <-ctx.Done():
 			}
-			answers <- answer{origin: res.Msg.GetStream()}
 		}()
 	}
-	answered := 0
-	for range hosts {
-		a := <-answers
-		switch {
-		case a.origin != nil:
-			return a.origin, answered + 1
-		case a.err == nil:
-			answered++
-		default:
-			s.log.WithError(a.err).Debug("control host not asked for the origin of a stream")
+}
+
+// receive takes one answer and returns its origin, or nil.
+func (q *streamQuery) receive(a streamAnswer) *controlv1.StreamOrigin {
+	q.open--
+	if a.err != nil {
+		q.log.WithError(a.err).Debug("origin of a stream not asked for")
+		return nil
+	}
+	q.answered++
+	return a.origin
+}
+
+func (q *streamQuery) unknown() error {
+	return &UnknownStreamError{Request: q.request, Calls: q.calls, Answers: q.answered}
+}
+
+// keepers returns the control hosts and the entries that may keep a stream, each in the
+// order in which they are to. Entries that know the same ones get the same order.
+func (s *Streams) keepers(request string) (hosts, peers []streamKeeper) {
+	for _, h := range s.client.streamHosts() {
+		hosts = append(hosts, streamKeeper{address: h.address, client: h.streams})
+	}
+	rankKeepers(hosts, request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return hosts, s.peerKeepers(request)
+}
+
+// peerKeepers returns the other entries that are to keep a stream while control hosts do
+// not answer. s.mu must be held.
+func (s *Streams) peerKeepers(request string) []streamKeeper {
+	var out []streamKeeper
+	for _, a := range s.peers.EntryPeers() {
+		out = append(out, streamKeeper{address: a})
+	}
+	rankKeepers(out, request)
+	out = slices.DeleteFunc(out[:min(len(out), streamCopies)], func(k streamKeeper) bool { return k.address == s.own })
+	for i, k := range out {
+		c, ok := s.peerClients[k.address]
+		if !ok {
+			c = controlv1connect.NewStreamServiceClient(s.client.httpClient, transport.URL(k.address), s.client.options...)
+			s.peerClients[k.address] = c
 		}
+		out[i].client = c
 	}
-	return nil, answered
+	return out
 }
 
-// streamHosts returns the control hosts in the order in which they keep the origin of the
-// stream that a request began. Entries that know the same hosts get the same order.
-func (c *Client) streamHosts(request string) []host {
+// rankKeepers sorts keepers by a hash of their address and the request.
+func rankKeepers(keepers []streamKeeper, request string) {
+	ranks := map[netip.AddrPort]uint64{}
+	for _, k := range keepers {
+		ranks[k.address] = xxhash.Sum64String(k.address.String() + " " + request)
+	}
+	slices.SortFunc(keepers, func(a, b streamKeeper) int { return cmp.Compare(ranks[a.address], ranks[b.address]) })
+}
+
+// streamHosts returns the control hosts that may keep streams: those that control reported
+// or, before that, those in the settings.
+func (c *Client) streamHosts() []host {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := slices.Clone(c.hosts)
 	if len(c.reported) > 0 {
-		out = out[:min(len(out), len(c.reported))]
+		return slices.Clone(c.hosts[:min(len(c.hosts), len(c.reported))])
 	}
-	ranks := map[netip.AddrPort]uint64{}
-	for _, h := range out {
-		ranks[h.address] = xxhash.Sum64String(h.address.String() + " " + request)
-	}
-	slices.SortFunc(out, func(a, b host) int { return cmp.Compare(ranks[a.address], ranks[b.address]) })
-	return out
+	return slices.Clone(c.hosts)
 }
 
 // knows reports whether a host is one of the control hosts.
--- a/controls/streams_test.go
+++ b/controls/streams_test.go
@@ -77,8 +77,22 @@
 	return s.origins[request] != nil
 }
 
-// startStreamHosts starts control hosts and returns them with two entries that know them.
-func startStreamHosts(t *testing.T, n int) ([]*streamHost, *Streams, *Streams) {
+// startStreamEntries makes entries keep streams for each other.
+func startStreamEntries(t *testing.T, entries ...*Streams) {
+	t.Helper()
+	var all peerList
+	for _, e := range entries {
+		_, handler := controlv1connect.NewStreamServiceHandler(e.Register())
+		e.own = serve(t, handler)
+		all.addresses = append(all.addresses, e.own)
+	}
+	for _, e := range entries {
+		e.peers = all
+	}
+}
+
+// startStreamHosts starts control hosts and returns them with their addresses.
+func startStreamHosts(t *testing.T, n int) ([]*streamHost, []netip.AddrPort) {
 	t.Helper()
 	var hosts []*streamHost
 	var addresses []netip.AddrPort
@@ -87,14 +101,24 @@
 		_, handler := controlv1connect.NewStreamServiceHandler(h)
 		hosts, addresses = append(hosts, h), append(addresses, serve(t, handler))
 	}
+	return hosts, addresses
+}
+
+// newStreamEntry returns the streams of an entry that knows some control hosts and no
+// entries.
+func newStreamEntry(hosts []netip.AddrPort) *Streams {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	newEntry := func() *Streams {
-		return NewStreams(NewClient(transport.NewClient(), addresses), "e", logrus.NewEntry(log))
-	}
-	return hosts, newEntry(), newEntry()
+	return NewStreams(NewClient(transport.NewClient(), hosts), peerList{}, netip.AddrPort{}, "e", logrus.NewEntry(log))
+}
+
+// peerList are the addresses of entries.
+type peerList struct {
+	addresses []netip.AddrPort
 }
 
+func (p peerList) EntryPeers() []netip.AddrPort { return p.addresses }
+
 func origin(request string, lifetime time.Duration) *controlv1.StreamOrigin {
 	return &controlv1.StreamOrigin{Request: request, Pool: "p", Version: "v1", Lifetime: durationpb.New(lifetime)}
 }
@@ -117,7 +141,8 @@
 		silent, fails bool
 	}{{name: "silent", silent: true}, {name: "failing", fails: true}, {name: "started again"}} {
 		t.Run(k.name, func(t *testing.T) {
-			hosts, first, second := startStreamHosts(t, 3)
+			hosts, addresses := startStreamHosts(t, 3)
+			first, second := newStreamEntry(addresses), newStreamEntry(addresses)
 			first.Record(origin("r", 14*time.Second))
 			for _, h := range hosts {
 				await(t, "the origin is recorded", func() bool { return h.knows("r") })
@@ -143,7 +168,8 @@
 // TestStreamsUnknown guards against a search for an origin that holds a caller for long, or
 // that takes silence for an answer.
 func TestStreamsUnknown(t *testing.T) {
-	hosts, first, second := startStreamHosts(t, 3)
+	hosts, addresses := startStreamHosts(t, 3)
+	first, second := newStreamEntry(addresses), newStreamEntry(addresses)
 	for _, silent := range []bool{false, true} {
 		for _, h := range hosts {
 			h.set(silent, false)
@@ -151,7 +177,7 @@
 		start := time.Now()
 		_, err := second.Find(t.Context(), "r")
 		var unknown *UnknownStreamError
-		if !errors.As(err, &unknown) || silent != (unknown.Answered == 0) {
+		if !errors.As(err, &unknown) || silent != (unknown.Answers == 0) {
 			t.Errorf("silent=%t: error %v", silent, err)
 		}
 		if took := time.Since(start); took > 2*findStreamTimeout {
@@ -171,7 +197,8 @@
 // control host did not answer when they began, and against ones that wait for a host longer
 // than their callers do.
 func TestStreamsRecordedLate(t *testing.T) {
-	hosts, first, second := startStreamHosts(t, 1)
+	hosts, addresses := startStreamHosts(t, 1)
+	first, second := newStreamEntry(addresses), newStreamEntry(addresses)
 	hosts[0].set(false, true)
 	first.Record(origin("short", 50*time.Millisecond))
 	for i := range 100 {
@@ -195,19 +222,64 @@
 	})
 }
 
-// TestStreamHosts checks that entries which learnt of the control hosts in different orders
-// use the same ones for a stream, and that the streams are spread over all hosts.
-func TestStreamHosts(t *testing.T) {
+// TestStreamsWithoutControl guards against streams that are lost with the entry that began
+// them while no control host answers.
+func TestStreamsWithoutControl(t *testing.T) {
+	for _, k := range []struct {
+		name          string
+		silent, fails bool
+	}{{name: "silent", silent: true}, {name: "failing", fails: true}} {
+		t.Run(k.name, func(t *testing.T) {
+			hosts, addresses := startStreamHosts(t, 3)
+			var entries []*Streams
+			for range 4 {
+				entries = append(entries, newStreamEntry(addresses))
+			}
+			startStreamEntries(t, entries...)
+			first := entries[0]
+			for _, h := range hosts {
+				h.set(k.silent, k.fails)
+			}
+			for i := range 20 {
+				first.Record(origin(fmt.Sprint("r", i), 14*time.Second))
+			}
+			// What began before the silence was noticed.
+			time.Sleep(2 * (recordStreamsTimeout + recordStreamsInterval))
+			for i := range 20 {
+				first.Record(origin(fmt.Sprint("later", i), 14*time.Second))
+			}
+			time.Sleep(recordStreamsInterval)
+			for i := range 20 {
+				for _, e := range entries[1:] {
+					for _, request := range []string{fmt.Sprint("r", i), fmt.Sprint("later", i)} {
+						if o, err := e.Find(t.Context(), request); err != nil || o.GetVersion() != "v1" {
+							t.Errorf("%s: origin %v, error %v", request, o, err)
+						}
+					}
+				}
+			}
+			for _, h := range hosts {
+				h.set(false, false)
+				await(t, "control keeps the stream at last", func() bool { return h.knows("later19") })
+			}
+		})
+	}
+}
+
+// TestStreamKeepers checks that entries which learnt of the control hosts in different
+// orders use the same ones for a stream, and that the streams are spread over all hosts.
+func TestStreamKeepers(t *testing.T) {
 	var addresses, reversed []netip.AddrPort
 	for i := range 9 {
 		a := netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", i+1))
 		addresses, reversed = append(addresses, a), append([]netip.AddrPort{a}, reversed...)
 	}
-	a, b := NewClient(transport.NewClient(), addresses), NewClient(transport.NewClient(), reversed)
+	a, b := newStreamEntry(addresses), newStreamEntry(reversed)
 	used := map[netip.AddrPort]int{}
 	for i := range 900 {
 		request := fmt.Sprint("r", i)
-		left, right := a.streamHosts(request), b.streamHosts(request)
+		left, _ := a.keepers(request)
+		right, _ := b.keepers(request)
 		for n := range streamCopies {
 			if left[n].address != right[n].address {
 				t.Fatalf("host %d of %s is %s and %s", n, request, left[n].address, right[n].address)
--- a/controls/view.go
+++ b/controls/view.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -430,6 +431,17 @@
 	return len(v.Members(MemberGroup{Role: controlv1.Role_ROLE_ENTRY}))
 }
 
+// EntryPeers returns the addresses of entries for other entries, in no order.
+func (v *View) EntryPeers() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, m := range v.Members(MemberGroup{Role: controlv1.Role_ROLE_ENTRY}) {
+		if a, err := netip.ParseAddrPort(m.GetPeerAddress()); err == nil {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // Endpoints returns the endpoints of a pool that are ready or lost, in no order.
 func (v *View) Endpoints(pool string) []*controlv1.Endpoint {
 	v.mu.RLock()
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -151,6 +151,6 @@
 	p := &process{name: name, program: "entry", address: ports.Free(), operators: ports.Free()}
 	return c.start(p, settings.Entry{
 		Name: name, Environment: c.environment, FailureDomain: "osu", Callers: p.address, Operators: p.operators, Controls: c.controls,
-		Policy: "reserve", Protocol: settings.Platform, RetryBudget: settings.RetryBudget{Ratio: 0.2, Slack: 52, Window: document.Duration(10 * time.Second)},
+		Peers: ports.Free(), Policy: "reserve", Protocol: settings.Platform, RetryBudget: settings.RetryBudget{Ratio: 0.2, Slack: 52, Window: document.Duration(10 * time.Second)},
 	})
 }
--- a/proof/platform_version_test.go
+++ b/proof/platform_version_test.go
@@ -27,6 +27,9 @@
 	// meanwhile, versionDowntime after its begin.
 	versionSilent  = 11 * time.Second
 	versionSilence = 4 * time.Second
+	// versionNoticed is how long after its begin entries that still run go on with streams
+	// as before, also with those of the entry that is killed.
+	versionNoticed = time.Second
 	// versionContact is how long after such an event an entry may refuse to go on.
 	versionContact = 4 * time.Second
 	// announcedWithin is the time within which entries know of an engine.
@@ -190,7 +193,11 @@
 		}
 		return true
 	})
-	if !judged {
+	judgedSilent := checkResumptions(t, streams, func(r streamTry) bool {
+		at := r.sent.Sub(start)
+		return !r.alone && r.entry != 2 && at > versionSilent+versionNoticed && at < versionSilent+versionSilence
+	})
+	if !judged || !judgedSilent {
 		t.Error("too few resumptions to judge")
 	}
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -93,8 +93,13 @@
 
 // metricsAddress checks the address for metrics, which is optional.
 func (c *checker) metricsAddress(v netip.AddrPort) {
+	c.optionalAddress("Metrics", v)
+}
+
+// optionalAddress checks an address that may be unset.
+func (c *checker) optionalAddress(field string, v netip.AddrPort) {
 	if v.IsValid() {
-		c.listenAddress("Metrics", v)
+		c.listenAddress(field, v)
 	}
 }
 
@@ -192,6 +197,7 @@
 		c.listenAddress("Callers", s.Callers)
 		c.listenAddress("Operators", s.Operators)
 		c.metricsAddress(s.Metrics)
+		c.optionalAddress("Peers", s.Peers)
 		c.controlAddresses(s.Controls)
 		c.security(s.Security)
 		c.allOrNone([]string{"CallersCertificateFile", "CallersPrivateKeyFile"}, []string{s.CallersCertificateFile, s.CallersPrivateKeyFile})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,6 +23,9 @@
 	Operators netip.AddrPort
 	// Metrics is an optional additional address that serves only metrics.
 	Metrics netip.AddrPort `json:",omitzero"`
+	// Peers is an optional address on which the entry serves other entries, with the
+	// protocol Platform.
+	Peers netip.AddrPort `json:",omitzero"`
 	// Controls lists the addresses of control hosts; at least one is required.
 	Controls []netip.AddrPort
 	// Policy is the name of the placement policy.
