--- a/cmd/entry/platform.go
+++ b/cmd/entry/platform.go
@@ -10,6 +10,7 @@
 	"ebonyreel/controls"
 	"ebonyreel/entry"
 	"ebonyreel/platform"
+	"ebonyreel/process"
 	"ebonyreel/proto/control/v1/controlv1connect"
 	"ebonyreel/relay"
 	"ebonyreel/transport"
@@ -28,6 +29,7 @@
 	r.SetAllocator(allocations)
 	streams := controls.NewStreams(p.client, p.view, s.Peers, s.Environment, p.log)
 	r.SetStreams(streams)
+	process.PublishMetric("Streams", streams.Metrics())
 	p.announcer.SetPoolObserver(r)
 	gate := entry.NewGate(p.view, p.log)
 	m := p.operatorRoutes(r, gate.ServeReady, "Relay", r.Metrics(), stop)
--- a/controls/streams.go
+++ b/controls/streams.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"expvar"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -86,6 +87,9 @@
 	failing map[netip.AddrPort]bool
 	// peerClients is keyed by address.
 	peerClients map[netip.AddrPort]controlv1connect.StreamServiceClient
+	// metrics counts streams Recorded at a keeper, ForEntries as a control host did not
+	// answer, FoundHere without a call, Found by one, and Unknown, and RecordsFailed.
+	metrics *expvar.Map
 }
 
 type keptStream struct {
@@ -109,9 +113,15 @@
 	return &Streams{
 		client: c, peers: peers, own: own, environment: environment, log: log, register: streams.NewRegister(maxKeptStreams), kept: map[string]*keptStream{},
 		queues: map[netip.AddrPort][]*keptStream{}, failing: map[netip.AddrPort]bool{}, peerClients: map[netip.AddrPort]controlv1connect.StreamServiceClient{},
+		metrics: new(expvar.Map).Init(),
 	}
 }
 
+// Metrics returns the metrics, for expvar.
+func (s *Streams) Metrics() expvar.Var {
+	return s.metrics
+}
+
 // Register returns the register that this entry keeps for others.
 func (s *Streams) Register() *streams.Register {
 	return s.register
@@ -166,6 +176,7 @@
 		return
 	}
 	k.atPeers = true
+	s.metrics.Add("ForEntries", 1)
 	for _, p := range peers[:min(len(peers), streamCopies)] {
 		s.enqueue(p, k)
 	}
@@ -180,11 +191,10 @@
 		}
 		err := s.recordAt(to, batch)
 		if err == nil {
-			s.recorded(to.address)
+			s.recorded(to, len(batch))
 			continue
 		}
-		s.log.WithError(err).WithFields(logrus.Fields{"At": to.address.String(), "Streams": len(batch)}).Debug("origins of streams not recorded, trying again")
-		s.putBack(to, batch)
+		s.putBack(to, batch, err)
 		time.Sleep(recordStreamsInterval)
 	}
 	s.mu.Lock()
@@ -208,19 +218,28 @@
 	return batch
 }
 
-func (s *Streams) recorded(a netip.AddrPort) {
+// recorded notes that a keeper has recorded n streams.
+func (s *Streams) recorded(by streamKeeper, n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.failing, a)
+	s.metrics.Add("Recorded", int64(n))
+	if s.failing[by.address] {
+		s.log.WithField("Keeper", by.address.String()).Info("origins of streams are recorded again")
+		delete(s.failing, by.address)
+	}
 }
 
 // putBack queues a batch again that a keeper has not recorded. Where that is a control host,
 // other entries keep the streams as well.
-func (s *Streams) putBack(to streamKeeper, batch []*keptStream) {
+func (s *Streams) putBack(to streamKeeper, batch []*keptStream, err error) {
 	isHost := s.client.knows(to.address)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failing[to.address] = true
+	s.metrics.Add("RecordsFailed", 1)
+	if !s.failing[to.address] {
+		s.log.WithError(err).WithFields(logrus.Fields{"Keeper": to.address.String(), "ControlHost": isHost}).Warn("origins of streams not recorded")
+		s.failing[to.address] = true
+	}
 	queue := append(batch, s.queues[to.address]...)
 	s.queues[to.address] = queue[:min(len(queue), maxQueuedStreams)]
 	if !isHost {
@@ -248,6 +267,7 @@
 // *UnknownStreamError.
 func (s *Streams) Find(ctx context.Context, request string) (*controlv1.StreamOrigin, error) {
 	if o := s.findHere(request); o != nil {
+		s.metrics.Add("FoundHere", 1)
 		return o, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, findStreamTimeout)
@@ -259,7 +279,7 @@
 	for rounds := 0; rounds < findStreamRounds || q.open > 0; {
 		select {
 		case <-ctx.Done():
-			return nil, q.unknown()
+			return nil, s.unknown(q)
 		case <-round.C:
 			q.ask(ctx, hosts)
 			if rounds > 0 {
@@ -273,11 +293,12 @@
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				s.keep(o)
+				s.metrics.Add("Found", 1)
 				return o, nil
 			}
 		}
 	}
-	return nil, q.unknown()
+	return nil, s.unknown(q)
 }
 
 // findHere returns the origin of a stream that this entry keeps, or nil.
@@ -340,7 +361,9 @@
 	return a.origin
 }
 
-func (q *streamQuery) unknown() error {
+// unknown returns the error of a search without result.
+func (s *Streams) unknown(q *streamQuery) error {
+	s.metrics.Add("Unknown", 1)
 	return &UnknownStreamError{Request: q.request, Calls: q.calls, Answers: q.answered}
 }
 
