Try the last engine of a version again instead of waiting for a grant

Cause: control excludes the engines that a call was sent to. A started stream whose version has no other engine waited in control's queue until its caller had left, 8 s in the test, and was broken off; found on reading what narrowing the engines does to each choice.

Change: a request for which no engine is left that it was not sent to reserves directly, where attempted engines are the last resort, as it did without control.

Evidence: TestLastOfItsVersion fails on the code before (broken off after 8 s).

--- a/relay/generate.go
+++ b/relay/generate.go
@@ -247,7 +247,7 @@
 	if err := r.admissionError(cs, controlv1.Role_ROLE_DECODE); err != nil {
 		return reservation{}, err
 	}
-	if r.allocator != nil && r.knowsDecodeEngine(cs) {
+	if r.allocator != nil && r.knowsAnotherEngine(cs) {
 		s, err := r.allocate(ctx, cs, onTimeUntil, abandonAt)
 		var queueTimeout *QueueTimeoutError
 		if err == nil || errors.As(err, &queueTimeout) {
@@ -257,11 +257,12 @@
 	return r.reserveDirectly(ctx, cs, onTimeUntil, abandonAt)
 }
 
-// knowsDecodeEngine reports whether an engine takes a request to decode. Without one, the
-// request is refused at once.
-func (r *Relay) knowsDecodeEngine(cs *callState) bool {
+// knowsAnotherEngine reports whether an engine that was not attempted takes a request to
+// decode. Control grants no other: without one, the request tries an attempted engine again
+// or, where there is none at all, is refused at once.
+func (r *Relay) knowsAnotherEngine(cs *callState) bool {
 	return slices.ContainsFunc(r.members(cs), func(e *controlv1.Endpoint) bool {
-		return takesRole(e, controlv1.Role_ROLE_DECODE)
+		return takesRole(e, controlv1.Role_ROLE_DECODE) && !cs.attempted[e.GetName()]
 	})
 }
 
--- a/relay/version_test.go
+++ b/relay/version_test.go
@@ -200,3 +200,38 @@
 		}
 	})
 }
+
+// waitingAllocator grants the first request memory, and lets all others wait.
+type waitingAllocator struct {
+	granted bool
+}
+
+func (w *waitingAllocator) Acquire(ctx context.Context, r *controlv1.AcquireRequest) (*controlv1.AcquireResponse, error) {
+	if w.granted {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	w.granted = true
+	return &controlv1.AcquireResponse{State: controlv1.AcquireState_ACQUIRE_STATE_GRANTED, DecodeEngine: "e0", Tokens: 3000}, nil
+}
+
+func (*waitingAllocator) Release(string, string, bool) {}
+
+func (*waitingAllocator) Prefilled(string, string, bool) {}
+
+// TestLastOfItsVersion guards against a stream that waits for a grant which cannot come, as
+// the only engine of its version has broken it, instead of trying that engine again.
+func TestLastOfItsVersion(t *testing.T) {
+	f := twoVersions(t, 2, 0)
+	synctest.Test(t, func(t *testing.T) {
+		v := &versionedEndpoints{scriptedEndpoints: scriptedEndpoints{script: []string{"events 1 2 cut", "events 3 4"}}}
+		r := newVersionedRelay(t, f, v)
+		r.SetAllocator(&waitingAllocator{})
+		out := &recordingCaller{}
+		start := time.Now()
+		r.Serve(t.Context(), newLetter("r"), out)
+		if want := "begin\nevent 1\nevent 2\nevent 3\nevent 4\n"; out.out.String() != want || time.Since(start) > time.Second {
+			t.Errorf("after %s: %s", time.Since(start), out.out.String())
+		}
+	})
+}
