--- a/Makefile
+++ b/Makefile
@@ -53,9 +53,10 @@
 
 # Runs all programs under faults drawn from SEED, and from the SOAKS - 1 numbers after
 # it, for SOAK seconds each; SCALE multiplies the processes. REPORT names a file for
-# what was injected and seen. A seed repeats its schedule.
+# what was injected and seen. A seed repeats its schedule. The programs on the users'
+# platform follow with the same seeds, for 20 s twice each.
 soak:
-	@go test -count=1 -v -timeout 120m ./proof -run 'TestSoak$$' -args -seed $(or $(SEED),1) -seeds $(or $(SOAKS),1) \
+	@go test -count=1 -v -timeout 120m ./proof -run 'Test(Platform)?Soak$$' -args -seed $(or $(SEED),1) -seeds $(or $(SOAKS),1) \
 		-soak $(or $(SOAK),30)s -soak-scale $(or $(SCALE),1) -soak-report "$(if $(REPORT),$(abspath $(REPORT)))"
 
 # Measures the policies under load and faults; CASE, DEPLOYMENT, POLICY and SEED
