Soak engines that leave by their answers or want a pause

TestPlatformSoak also draws engines that say in their answers that they leave, and prefill engines that turn calls away with Retry-After. The IDs of calls name the entry that they are sent to, so that the engines can tell whom they told what. It checks that no call taken later than 2 s after an entry passed on such an answer reaches the engine (DRAIN), and that at most two calls do in a pause (BUDGET), at entries that were not disturbed since.

--- a/proof/platform_engine_test.go
+++ b/proof/platform_engine_test.go
@@ -43,6 +43,10 @@
 	starts int
 	// running are the engines that run, by name.
 	running map[string]*platformEngine
+	// words are what engines said of themselves in answers, and arrivals the calls that
+	// reached them, of the entries that the IDs of the calls name.
+	words    []engineWord
+	arrivals []engineArrival
 	// crashes and reached are when an engine crashed, and when a call with the crashing
 	// part reached an engine.
 	crashes, reached []time.Time
@@ -68,9 +72,13 @@
 	server  *http.Server
 	stop    context.CancelFunc
 
-	// mu guards the stage.
+	// mu guards the stage, leaves and pausedUntil.
 	mu sync.Mutex
 	announcedEndpoint
+	// leaves is true once the engine says so in its answers, and pausedUntil is until when
+	// it turns calls away.
+	leaves      bool
+	pausedUntil time.Time
 }
 
 // start starts an engine of a version at an address until the context ends.
@@ -80,10 +88,6 @@
 	e := &platformEngine{engines: p, announcedEndpoint: announcedEndpoint{
 		service: "engines", name: fmt.Sprintf("i-%d", p.starts), address: address, born: time.Now(), stage: stage, version: version,
 	}}
-	if p.running == nil {
-		p.running = map[string]*platformEngine{}
-	}
-	p.running[e.name] = e
 	p.mu.Unlock()
 	l, err := net.Listen("tcp", address.String())
 	if err != nil {
@@ -92,6 +96,12 @@
 	}
 	running, stop := context.WithCancel(ctx)
 	e.stop, e.server = stop, &http.Server{Handler: e, ReadHeaderTimeout: time.Second}
+	p.mu.Lock()
+	if p.running == nil {
+		p.running = map[string]*platformEngine{}
+	}
+	p.running[e.name] = e
+	p.mu.Unlock()
 	go func() { _ = e.server.Serve(l) }()
 	go func() {
 		for n := 0; ; n++ {
@@ -156,6 +166,7 @@
 	switch {
 	case r.Header.Get("X-Expect-Instance") != e.name:
 		w.WriteHeader(http.StatusMisdirectedRequest)
+	case e.turnsAway(w, r):
 	case r.URL.Path == "/hold-take":
 		e.reply(w, map[string]any{"hold": fmt.Sprint("h-", time.Now().UnixNano())})
 	case r.URL.Path == "/order":
--- a/proof/platform_soak_test.go
+++ b/proof/platform_soak_test.go
@@ -68,6 +68,18 @@
 	return true
 }
 
+// disturbed reports whether an entry itself was disturbed in a period.
+func (s *platformSoak) disturbed(entry int, from, to time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range s.disturbances {
+		if d.entry == entry && d.from.Before(to) && from.Before(d.to) {
+			return true
+		}
+	}
+	return false
+}
+
 // atEntry makes a fault of one random entry, which waits for the one before there.
 func (s *platformSoak) atEntry(random *rand.Rand, fault func(p *process)) func() {
 	i := random.IntN(len(s.entries))
@@ -95,9 +107,9 @@
 func (s *platformSoak) drawFault(random *rand.Rand, controlCalm bool) (string, func()) {
 	d := 200*time.Millisecond + time.Duration(random.Int64N(int64(2800*time.Millisecond)))
 	one := s.hosts.processes[random.IntN(len(s.hosts.processes)):][:1]
-	kinds := 9
+	kinds := 11
 	if controlCalm {
-		kinds = 5
+		kinds = 7
 	}
 	switch random.IntN(kinds) {
 	case 0:
@@ -121,28 +133,43 @@
 		})
 	case 3:
 		return "engine crashed", func() {
-			if e := s.engines.any(); e != nil {
+			if e := s.engines.any(""); e != nil {
 				e.crash()
 			}
 		}
 	case 4:
 		return "engine replaced", func() { s.replaceEngine(d / 2) }
 	case 5:
-		return "control host killed", s.atHosts(one, (*process).kill, s.startAgain, d)
+		return "engine leaves by its answers", func() {
+			if e := s.engines.any(""); e != nil {
+				s.engines.start(s.t.Context(), ports.Free(), e.currentStage(), e.version)
+				e.leave(2 * wordDrainTime)
+			}
+		}
 	case 6:
-		return "control host frozen", s.atHosts(one, (*process).freeze, (*process).thaw, d)
+		return "engine turns calls away", func() {
+			if e := s.engines.any("prefill"); e != nil {
+				e.pause(d)
+			}
+		}
 	case 7:
+		return "control host killed", s.atHosts(one, (*process).kill, s.startAgain, d)
+	case 8:
+		return "control host frozen", s.atHosts(one, (*process).freeze, (*process).thaw, d)
+	case 9:
 		return "all control hosts frozen", s.atHosts(s.hosts.processes, (*process).freeze, (*process).thaw, d)
 	}
 	return "all control hosts killed", s.atHosts(s.hosts.processes, (*process).kill, s.startAgain, d)
 }
 
-// any returns an engine that runs, or nil.
-func (p *platformEngines) any() *platformEngine {
+// any returns an engine of a stage that runs, or nil. An empty stage stands for both.
+func (p *platformEngines) any(stage string) *platformEngine {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.running {
-		return e
+		if stage == "" || e.currentStage() == stage {
+			return e
+		}
 	}
 	return nil
 }
@@ -154,7 +181,7 @@
 	s.version++
 	newest := fmt.Sprint("v", 2+s.version/3)
 	s.mu.Unlock()
-	old := s.engines.any()
+	old := s.engines.any("")
 	if old == nil {
 		return
 	}
@@ -173,8 +200,9 @@
 	_ = e.server.Close()
 }
 
-// TestPlatformSoak guards against streams of two versions and refusals of streams that could
-// go on, under random faults of entries, control hosts and engines that overlap.
+// TestPlatformSoak guards against streams of two versions, refusals of streams that could go
+// on, and calls to engines that leave or want a pause, under random faults of entries, control
+// hosts and engines that overlap.
 func TestPlatformSoak(t *testing.T) {
 	for n := range *seedCount {
 		seed := *firstSeed + uint64(n)
@@ -211,4 +239,5 @@
 	all.Wait()
 	checkVersions(t, streams)
 	checkResumptions(t, streams, func(r streamTry) bool { return !r.alone && s.calm(r.entry, r.sent) })
+	checkWords(t, s.engines, streams, s.disturbed)
 }
--- a/proof/platform_version_test.go
+++ b/proof/platform_version_test.go
@@ -43,6 +43,7 @@
 // streamTry is one request of a caller for a stream. entry is the index of the entry that
 // took it.
 type streamTry struct {
+	id      string
 	sent    time.Time
 	entry   int
 	resumes bool
@@ -77,7 +78,7 @@
 	}
 	for try, entry := 0, n%len(entries); try < maxStreamTries && s.events < platformEvents; {
 		entry = (entry + 1) % len(entries)
-		if s.request(ctx, entries[entry], entry, fmt.Sprint(s.id, "-", try), leaveAfter) {
+		if s.request(ctx, entries[entry], entry, callID(s.id, try, entry), leaveAfter) {
 			try, leaveAfter = try+1, platformEvents
 		}
 		if !clock.Sleep(ctx, 5*time.Millisecond) {
@@ -100,7 +101,7 @@
 		r.Header.Set("Last-Event-Id", strconv.Itoa(s.events-1))
 		r.Header.Set("Resumes", s.began)
 	}
-	t := streamTry{sent: time.Now(), entry: entry, resumes: s.events > 0, alone: s.alone()}
+	t := streamTry{id: id, sent: time.Now(), entry: entry, resumes: s.events > 0, alone: s.alone()}
 	res, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return false
