--- /dev/null
+++ b/relay/call_state.go
@@ -0,0 +1,78 @@
+package relay
+
+import (
+	"time"
+
+	"ebonyreel/decision"
+	"ebonyreel/document"
+	controlv1 "ebonyreel/proto/control/v1"
+)
+
+// callState is the state of one call while it is served.
+type callState struct {
+	call           *Call
+	answer         AnswerWriter
+	route          document.Route
+	pool           document.Pool
+	documentNumber uint64
+	deadline       time.Time
+	// firstArrived is when the call arrived for the first time, before its caller
+	// retried it, as estimated from its timeout.
+	firstArrived time.Time
+	// sent is the number of times that the call was sent to an endpoint, and
+	// dialFailures the number of failed dials.
+	sent         int
+	dialFailures int
+	// endpoint is the endpoint of the current or last attempt.
+	endpoint Endpoint
+	// prepared is memory reserved for the next attempt, or nil, and begun is that attempt
+	// where its endpoint has begun it. budgetCharged is true where the next attempt is
+	// already charged to the retry budget.
+	prepared      *reservation
+	begun         *begunAttempt
+	budgetCharged bool
+	// mayHaveRun is true once an endpoint may have run the call.
+	mayHaveRun bool
+	// prefills is the number of engines that were asked to compute the prompt, and
+	// demandRecorded is true once the call counts as demand of its pool.
+	prefills       int
+	demandRecorded bool
+	// attempted are the names of the endpoints that the call was sent to.
+	attempted map[string]bool
+	// origin is where the stream began; nil before the caller has received an event.
+	origin *controlv1.StreamOrigin
+	// started is true once a stream to the caller has started, lastEvent is the ID
+	// of the last event sent to the caller or received before, and eventCount the
+	// number sent.
+	started    bool
+	lastEvent  string
+	eventCount int
+	// attemptEvents is the number of events received in the current or last attempt.
+	attemptEvents int
+	// parts are the digests of the shared parts of the prompt. sound is true once an
+	// endpoint generated an answer with them, and trial are those that the call is the
+	// trial of.
+	parts []string
+	sound bool
+	trial []string
+	// firstSent is when the caller was sent the answer or its first event, lastSent
+	// when it was sent its last event, and longestGap the longest time between two
+	// events.
+	firstSent  time.Time
+	lastSent   time.Time
+	longestGap time.Duration
+	// failedReply and failedBody are a server error from an endpoint, which the
+	// caller gets where no other endpoint does better.
+	failedReply *Reply
+	failedBody  []byte
+	record      *decision.Request
+}
+
+// timeLeft returns how long the caller still waits, also for a call that it sends
+// again.
+func (cs *callState) timeLeft() time.Duration {
+	if cs.call.Timeout > 0 {
+		return time.Until(cs.call.Arrived.Add(cs.call.Timeout))
+	}
+	return time.Until(cs.deadline)
+}
