Rank the entries for a stream only where they are needed

Found on reading the whole change again; behaviour stays as it is.

Cause: with each stream that begins, and each search, an entry parsed and ranked the addresses of all entries, 400 at the target, and used the result only while a control host does not answer. Where three hosts failed the same stream, it did so for each before it looked whether the stream was queued there already. The limit to three was applied twice.

Change: enqueueAtPeers ranks the entries itself, after its check; a search does in its second round, the first that asks them. Whether a host is a known control host is one function.

Run: tests of controls under the race detector and the linter pass.

--- a/controls/client.go
+++ b/controls/client.go
@@ -174,7 +174,7 @@
 	leader, e := netip.ParseAddrPort(RefusalFrom(err).GetLeaderAddress())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e == nil && !slices.ContainsFunc(c.hosts, func(h host) bool { return h.address == leader }) {
+	if e == nil && !c.hasHost(leader) {
 		c.reported = append(slices.Clone(c.reported), leader)
 		c.mergeHosts()
 	}
@@ -194,6 +194,11 @@
 	return c.hosts[next]
 }
 
+// hasHost reports whether a host is one of the control hosts. c.mu must be held.
+func (c *Client) hasHost(a netip.AddrPort) bool {
+	return slices.ContainsFunc(c.hosts, func(h host) bool { return h.address == a })
+}
+
 func callHost(ctx context.Context, client controlv1connect.ControlServiceClient, f callFunc) error {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
--- a/controls/stream_query.go
+++ b/controls/stream_query.go
@@ -44,7 +44,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, findStreamTimeout)
 	defer cancel()
-	hosts, peers := s.keepers(request)
+	hosts := s.hostKeepers(request)
+	var peers []streamKeeper
 	q := &streamQuery{environment: s.environment, request: request, log: s.log, answers: make(chan streamAnswer)}
 	round := time.NewTimer(0)
 	defer round.Stop()
@@ -54,9 +55,12 @@
 			return nil, s.unknown(q)
 		case <-round.C:
 			q.ask(ctx, hosts)
-			if rounds > 0 {
-				q.ask(ctx, peers)
+			if rounds == 1 {
+				s.mu.Lock()
+				peers = s.peerKeepers(request)
+				s.mu.Unlock()
 			}
+			q.ask(ctx, peers)
 			if rounds++; rounds < findStreamRounds {
 				round.Reset(findStreamInterval)
 			}
--- a/controls/streams.go
+++ b/controls/streams.go
@@ -108,14 +108,14 @@
 
 // Record records where a stream began. It does not wait.
 func (s *Streams) Record(o *controlv1.StreamOrigin) {
-	hosts, peers := s.keepers(o.GetRequest())
+	hosts := s.hostKeepers(o.GetRequest())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.keep(o)
 	for _, h := range hosts[:min(len(hosts), streamCopies)] {
 		s.enqueue(h, k)
 		if s.failing[h.address] {
-			s.enqueueAtPeers(peers, k)
+			s.enqueueAtPeers(k)
 		}
 	}
 }
@@ -156,13 +156,13 @@
 }
 
 // enqueueAtPeers queues a stream for other entries, once. s.mu must be held.
-func (s *Streams) enqueueAtPeers(peers []streamKeeper, k *keptStream) {
+func (s *Streams) enqueueAtPeers(k *keptStream) {
 	if k.atPeers {
 		return
 	}
 	k.atPeers = true
 	s.metrics.Add("ForEntries", 1)
-	for _, p := range peers[:min(len(peers), streamCopies)] {
+	for _, p := range s.peerKeepers(k.origin.GetRequest()) {
 		s.enqueue(p, k)
 	}
 }
@@ -230,7 +230,7 @@
 		return
 	}
 	for _, k := range batch {
-		s.enqueueAtPeers(s.peerKeepers(k.origin.GetRequest()), k)
+		s.enqueueAtPeers(k)
 	}
 }
 
@@ -247,16 +247,15 @@
 	return err
 }
 
-// keepers returns the control hosts and the entries that may keep a stream, each in the
-// order in which they are to. Entries that know the same ones get the same order.
-func (s *Streams) keepers(request string) (hosts, peers []streamKeeper) {
+// hostKeepers returns the control hosts in the order in which they are to keep a stream.
+// Entries that know the same ones get the same order.
+func (s *Streams) hostKeepers(request string) []streamKeeper {
+	var out []streamKeeper
 	for _, h := range s.client.streamHosts() {
-		hosts = append(hosts, streamKeeper{address: h.address, client: h.streams})
+		out = append(out, streamKeeper{address: h.address, client: h.streams})
 	}
-	rankKeepers(hosts, request)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return hosts, s.peerKeepers(request)
+	rankKeepers(out, request)
+	return out
 }
 
 // peerKeepers returns the other entries that are to keep a stream while control hosts do
@@ -303,5 +302,5 @@
 func (c *Client) knows(a netip.AddrPort) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.ContainsFunc(c.hosts, func(h host) bool { return h.address == a })
+	return c.hasHost(a)
 }
--- a/controls/streams_test.go
+++ b/controls/streams_test.go
@@ -278,8 +278,7 @@
 	used := map[netip.AddrPort]int{}
 	for i := range 900 {
 		request := fmt.Sprint("r", i)
-		left, _ := a.keepers(request)
-		right, _ := b.keepers(request)
+		left, right := a.hostKeepers(request), b.hostKeepers(request)
 		for n := range streamCopies {
 			if left[n].address != right[n].address {
 				t.Fatalf("host %d of %s is %s and %s", n, request, left[n].address, right[n].address)
