--- a/proof/platform_engine_test.go
+++ b/proof/platform_engine_test.go
@@ -143,10 +143,8 @@
 	p := e.engines
 	p.mu.Lock()
 	p.crashes = append(p.crashes, time.Now())
-	delete(p.running, e.name)
 	p.mu.Unlock()
-	e.stop()
-	_ = e.server.Close()
+	e.retire()
 	time.AfterFunc(platformDowntime, func() {
 		if p.t.Context().Err() == nil {
 			p.start(p.t.Context(), e.address, e.currentStage(), e.version)
@@ -154,6 +152,29 @@
 	})
 }
 
+// retire ends an engine for good.
+func (e *platformEngine) retire() {
+	p := e.engines
+	p.mu.Lock()
+	delete(p.running, e.name)
+	p.mu.Unlock()
+	e.stop()
+	_ = e.server.Close()
+}
+
+// find returns an engine of a stage and a version that runs, or nil. Empty ones stand for
+// any.
+func (p *platformEngines) find(stage, version string) *platformEngine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.running {
+		if (stage == "" || e.currentStage() == stage) && (version == "" || e.version == version) {
+			return e
+		}
+	}
+	return nil
+}
+
 func (e *platformEngine) currentStage() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/proof/platform_soak_test.go
+++ b/proof/platform_soak_test.go
@@ -133,7 +133,7 @@
 		})
 	case 3:
 		return "engine crashed", func() {
-			if e := s.engines.any(""); e != nil {
+			if e := s.engines.find("", ""); e != nil {
 				e.crash()
 			}
 		}
@@ -141,14 +141,14 @@
 		return "engine replaced", func() { s.replaceEngine(d / 2) }
 	case 5:
 		return "engine leaves by its answers", func() {
-			if e := s.engines.any(""); e != nil {
+			if e := s.engines.find("", ""); e != nil {
 				s.engines.start(s.t.Context(), ports.Free(), e.currentStage(), e.version)
 				e.leave(2 * wordDrainTime)
 			}
 		}
 	case 6:
 		return "engine turns calls away", func() {
-			if e := s.engines.any("prefill"); e != nil {
+			if e := s.engines.find("prefill", ""); e != nil {
 				e.pause(d)
 			}
 		}
@@ -162,18 +162,6 @@
 	return "all control hosts killed", s.atHosts(s.hosts.processes, (*process).kill, s.startAgain, d)
 }
 
-// any returns an engine of a stage that runs, or nil. An empty stage stands for both.
-func (p *platformEngines) any(stage string) *platformEngine {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, e := range p.running {
-		if stage == "" || e.currentStage() == stage {
-			return e
-		}
-	}
-	return nil
-}
-
 // replaceEngine starts an engine of the newest version, and ends one of another a while
 // later. Every few engines the version changes.
 func (s *platformSoak) replaceEngine(after time.Duration) {
@@ -181,7 +169,7 @@
 	s.version++
 	newest := fmt.Sprint("v", 2+s.version/3)
 	s.mu.Unlock()
-	old := s.engines.any("")
+	old := s.engines.find("", "")
 	if old == nil {
 		return
 	}
@@ -190,16 +178,6 @@
 	old.retire()
 }
 
-// retire ends an engine for good.
-func (e *platformEngine) retire() {
-	p := e.engines
-	p.mu.Lock()
-	delete(p.running, e.name)
-	p.mu.Unlock()
-	e.stop()
-	_ = e.server.Close()
-}
-
 // TestPlatformSoak guards against streams of two versions, refusals of streams that could go
 // on, and calls to engines that leave or want a pause, under random faults of entries, control
 // hosts and engines that overlap.
--- a/proof/platform_version_test.go
+++ b/proof/platform_version_test.go
@@ -252,16 +252,8 @@
 // crashOneOfEach crashes a decode engine of each version.
 func (p *platformEngines) crashOneOfEach(versions ...string) {
 	for _, v := range versions {
-		p.mu.Lock()
-		var found *platformEngine
-		for _, e := range p.running {
-			if e.version == v && e.currentStage() == "decode" {
-				found = e
-			}
-		}
-		p.mu.Unlock()
-		if found != nil {
-			found.crash()
+		if e := p.find("decode", v); e != nil {
+			e.crash()
 		}
 	}
 }
