Declare client accounts with several keys, quotas and route priorities in documents

Cause: a document could name one key for a caller, and nothing bounded a caller over all entries; the platform's configuration with accounts was read without them. Change: level 3 of documents; a caller is in the part of each of its keys, so that look-ups and changes cost what they did. Configurations without accounts give the same bytes as before.

--- a/document/check.go
+++ b/document/check.go
@@ -70,6 +70,10 @@
 		a.check(c, fmt.Sprintf("Callers[%d]", i), d)
 		c.checkUnique(callerNames, a.Name, fmt.Sprintf("Callers[%d].Name", i))
 		c.checkUnique(keyHashes, a.KeyHash, fmt.Sprintf("Callers[%d].KeyHash", i))
+		a.checkAccount(c, fmt.Sprintf("Callers[%d]", i), keyHashes)
+	}
+	if d.Level < accountsLevel && d.needsAccountsLevel() {
+		c.Add("Level", d.Level, fmt.Sprintf("%d or more, as several keys, quotas and priorities of callers and routes with keys need it", accountsLevel))
 	}
 	d.checkRoutes(c)
 	c.checkPositive("Retention.Operations", d.Retention.Operations)
--- a/document/diff.go
+++ b/document/diff.go
@@ -57,11 +57,25 @@
 		d.diffStructs(path, before, after)
 	case before.Kind() == reflect.Slice:
 		d.diffLists(path, before, after)
+	case before.Kind() == reflect.Pointer && (before.IsNil() || after.IsNil()):
+		d.diffOptional(path, before, after)
+	case before.Kind() == reflect.Pointer:
+		d.diffValues(path, before.Elem(), after.Elem())
 	case !before.Equal(after):
 		d.changes = append(d.changes, Change{Field: path, Was: formatValue(before), Is: formatValue(after)})
 	}
 }
 
+// diffOptional compares two optional values of which at least one is not set.
+func (d *differ) diffOptional(path string, before, after reflect.Value) {
+	switch {
+	case !before.IsNil():
+		d.changes = append(d.changes, Change{Field: path, Was: formatValue(before.Elem())})
+	case !after.IsNil():
+		d.changes = append(d.changes, Change{Field: path, Is: formatValue(after.Elem())})
+	}
+}
+
 // diffLists compares two lists by the names of their elements, see elementName.
 func (d *differ) diffLists(path string, before, after reflect.Value) {
 	oldElements, newElements := elements(before), elements(after)
--- a/document/document.go
+++ b/document/document.go
@@ -9,11 +9,12 @@
 import (
 	"crypto/subtle"
 	"net/http"
+	"sort"
 	"time"
 )
 
 // Level is the highest feature level of a document that this build supports.
-const Level = 2
+const Level = 3
 
 // Document is the declaration of one environment.
 type Document struct {
@@ -102,6 +103,9 @@
 	Name string
 	// KeyHash is the SHA-256 of the caller's key, in hexadecimal.
 	KeyHash string
+	// KeyHashes are those of its further keys; they are sorted and unique, and differ
+	// from KeyHash. They need level 3.
+	KeyHashes []string `json:",omitempty"`
 	// Models lists the models that the caller may use; it is sorted.
 	Models []string
 	// Services lists the services that the caller may use; it is sorted.
@@ -118,6 +122,11 @@
 	// Patience is the longest wait of a call for its first token; zero means no
 	// limit.
 	Patience Duration
+	// RoutePriority goes before the Priority of a route, where 0 is the most urgent;
+	// nil leaves that of the route. It needs level 3.
+	RoutePriority *int `json:",omitempty"`
+	// Quota bounds the requests on routes at all entries together. It needs level 3.
+	Quota Quota `json:",omitzero"`
 }
 
 // Retention bounds the history that the control state keeps.
@@ -155,10 +164,15 @@
 // CallerByKey returns the caller that owns a key. It compares the hashes of the
 // keys in constant time.
 func (d *Document) CallerByKey(key string) (Caller, bool) {
-	if d.callerBuckets == nil {
+	return d.CallerByKeyHash(Digest([]byte(key)))
+}
+
+// CallerByKeyHash returns the caller that owns the key with a SHA-256 in hexadecimal, in
+// lower case.
+func (d *Document) CallerByKeyHash(hash string) (Caller, bool) {
+	if d.callerBuckets == nil || len(hash) < bucketDigits {
 		return Caller{}, false
 	}
-	hash := Digest([]byte(key))
 	for _, c := range d.callerBuckets[bucketOf(hash)] {
 		if subtle.ConstantTimeCompare([]byte(c.KeyHash), []byte(hash)) == 1 {
 			return c, true
@@ -167,6 +181,15 @@
 	return Caller{}, false
 }
 
+// CallerByName returns the caller of a name in a document that Parse or Load returned.
+func (d *Document) CallerByName(name string) (Caller, bool) {
+	i := sort.Search(len(d.Callers), func(i int) bool { return d.Callers[i].Name >= name })
+	if i < len(d.Callers) && d.Callers[i].Name == name {
+		return d.Callers[i], true
+	}
+	return Caller{}, false
+}
+
 // Call returns the call that matches a method and a path. If several do, it is
 // the one with the longest path.
 func (s Service) Call(method, path string) (Call, bool) {
--- a/document/parse.go
+++ b/document/parse.go
@@ -152,6 +152,7 @@
 	defaultInt(&c.Burst, int(max(1, c.RatePerSecond)))
 	defaultInt(&c.Concurrency, defaultCallerConcurrency)
 	c.KeyHash = strings.ToLower(c.KeyHash)
+	c.sortKeys()
 }
 
 // sortedCopy returns a sorted copy that is never nil.
--- a/document/part.go
+++ b/document/part.go
@@ -94,12 +94,16 @@
 	return Part{Name: name, Digest: Digest(b), Content: b}, nil
 }
 
-// bucketCallers returns the callers by bucket.
+// bucketCallers returns the callers by bucket. A caller with several keys is in the
+// bucket of each of them, under that key alone.
 func (d *Document) bucketCallers() *[bucketCount][]Caller {
 	out := &[bucketCount][]Caller{}
 	for _, c := range d.Callers {
-		b := bucketOf(c.KeyHash)
-		out[b] = append(out[b], c)
+		for _, h := range c.keys() {
+			b, byKey := bucketOf(h), c
+			byKey.KeyHash, byKey.KeyHashes = h, nil
+			out[b] = append(out[b], byKey)
+		}
 	}
 	return out
 }
--- a/document/route.go
+++ b/document/route.go
@@ -80,6 +80,8 @@
 	// Generates is true for requests to model engines that declare their
 	// prompt.
 	Generates bool `json:",omitzero"`
+	// Public is true for a route whose requests need no key. It needs level 3.
+	Public bool `json:",omitzero"`
 }
 
 // Share is one pool of a route and its share of the requests.
@@ -100,6 +102,9 @@
 	HeaderTimeout Duration
 	// IdleTimeout bounds the time that a connection is idle.
 	IdleTimeout Duration
+	// NeedKey is true where requests need the key of a caller, unless their route is
+	// public. It needs level 3.
+	NeedKey bool `json:",omitzero"`
 }
 
 // Repeatable reports whether a request of the route may run more than once.
--- a/faults/decode.go
+++ b/faults/decode.go
@@ -100,6 +100,11 @@
 	if err != nil {
 		return err
 	}
+	if v.Kind() == reflect.Pointer {
+		// A pointer is a field that may be left out.
+		v.Set(reflect.New(v.Type().Elem()))
+		v = v.Elem()
+	}
 	delim, isDelim := tok.(json.Delim)
 	switch {
 	case isDelim && delim == '{' && v.Kind() == reflect.Struct && !unmarshalsText(v):
