--- a/settings/check.go
+++ b/settings/check.go
@@ -59,6 +59,12 @@
 	}
 }
 
+func (c *checker) quotaTolerance(t QuotaTolerance) {
+	if !(t.Excess >= 0) || t.Window < 0 {
+		c.Add("QuotaTolerance", fmt.Sprintf("%v, %s", t.Excess, time.Duration(t.Window)), "an excess and a window from 0")
+	}
+}
+
 // requireText checks that a string is not empty.
 func (c *checker) requireText(field, v string) {
 	if v == "" {
@@ -207,6 +213,7 @@
 		c.protocol(s.Protocol)
 		c.memory(s.MemoryMegabytes)
 		c.retryBudget(s.RetryBudget)
+		c.quotaTolerance(s.QuotaTolerance)
 	})
 	return s, err
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -46,6 +46,9 @@
 	Protocol string `json:",omitempty"`
 	// RetryBudget bounds the retries that all entries together send to one pool.
 	RetryBudget RetryBudget `json:",omitzero"`
+	// QuotaTolerance is the excess over the quota of a client account that is tolerated
+	// while entries are out of reach of control.
+	QuotaTolerance QuotaTolerance `json:",omitzero"`
 	// MemoryMegabytes is the memory of the host that the process may use, in
 	// mebibytes. Zero means no limit.
 	MemoryMegabytes int
@@ -59,6 +62,13 @@
 	Window document.Duration
 }
 
+// QuotaTolerance is by how much, in the unit of a quota, all entries together may exceed
+// it in any period of length Window.
+type QuotaTolerance struct {
+	Excess float64
+	Window document.Duration
+}
+
 // The values of Protocol: what callers, endpoints and operators use.
 const (
 	OpenAI   = "OpenAI"
