Grant engine memory to accounts in turns, by the cost of their requests

Cause: allocation.Queue takes the most urgent, then the oldest: an account that floods gets all grants. Change: start-time fair queueing among requests that are as urgent; late requests are refused by their place in the turns.

--- a/allocation/pool.go
+++ b/allocation/pool.go
@@ -83,6 +83,8 @@
 	Prefill bool
 	// Excluded are engines that must not decode the request.
 	Excluded []string
+	// Account is the name of the client account; empty for none.
+	Account string
 }
 
 // Grant is the memory of an engine that a request may reserve.
--- a/allocation/queue.go
+++ b/allocation/queue.go
@@ -25,14 +25,15 @@
 // its target, late afterwards, or part of a started stream that continues at
 // another engine. On-time requests go first, while started streams get every other
 // admission and late requests one in ten. No late request is admitted while a
-// started stream waits. Within each kind the most urgent goes first, then the
-// earliest. The zero value is empty.
+// started stream waits. Within each kind the most urgent goes first, then that of the
+// account which has had least, then the earliest. The zero value is empty.
 type Queue struct {
 	// requests is in order of arrival.
 	requests []*Request
 	// onTimeAdmitted is the number of on-time requests admitted since the last late
 	// or started one.
 	onTimeAdmitted int
+	fairness       fairness
 	// grantRate is the grants per second as of rateUpdated, and grants their total.
 	grantRate   float64
 	rateUpdated time.Time
@@ -65,11 +66,11 @@
 		switch {
 		case blocked[r.ID]:
 		case r.Started:
-			started = moreUrgent(started, r)
+			started = q.first(started, r)
 		case now.Before(r.OnTimeUntil):
-			onTime = moreUrgent(onTime, r)
+			onTime = q.first(onTime, r)
 		default:
-			late = moreUrgent(late, r)
+			late = q.first(late, r)
 		}
 	}
 	switch {
@@ -81,18 +82,22 @@
 	return onTime
 }
 
-// moreUrgent returns the more urgent of two requests, or the first one where they
-// are equal. first may be nil.
-func moreUrgent(first, r *Request) *Request {
-	if first == nil || r.Priority < first.Priority {
-		return r
+// first returns the request that goes first of two, of which a arrived earlier. a may be
+// nil.
+func (q *Queue) first(a, b *Request) *Request {
+	switch {
+	case a == nil || b.Priority < a.Priority:
+		return b
+	case b.Priority == a.Priority && q.fairness.tag(b.Account) < q.fairness.tag(a.Account):
+		return b
 	}
-	return first
+	return a
 }
 
 // Admit removes a request whose turn it is.
 func (q *Queue) Admit(r *Request, now time.Time) {
 	q.Remove(r.ID)
+	q.fairness.admit(r.Account, r.cost())
 	if !r.Started && now.Before(r.OnTimeUntil) {
 		q.onTimeAdmitted++
 	} else {
@@ -117,7 +122,7 @@
 func (q *Queue) RefuseLate(now time.Time) []*Request {
 	rate := q.rateAt(now)
 	known := q.grants >= minGrants && rate > 0
-	ahead, late := 0, 0
+	ahead := 0
 	for _, r := range q.requests {
 		if r.Started || now.Before(r.OnTimeUntil) {
 			ahead++
@@ -129,15 +134,16 @@
 	}
 	var refused []*Request
 	remaining := q.requests[:0]
+	var late lateRequests
 	for _, r := range q.requests {
 		if !now.Before(r.AbandonAt) {
 			refused = append(refused, r)
 			continue
 		}
 		if known && !r.Started && !now.Before(r.OnTimeUntil) {
-			late++
-			if wait := time.Duration(float64(late) / lateRate * float64(time.Second)); now.Add(wait).After(r.AbandonAt) {
-				late--
+			position := late.add(r.Account)
+			if wait := time.Duration(float64(position) / lateRate * float64(time.Second)); now.Add(wait).After(r.AbandonAt) {
+				late.remove(r.Account)
 				refused = append(refused, r)
 				continue
 			}
@@ -148,3 +154,26 @@
 	q.requests = remaining
 	return refused
 }
+
+// lateRequests counts the late requests of each account. The zero value has none.
+type lateRequests struct {
+	counts map[string]int
+}
+
+// add counts a request and returns its place among the late ones, where the accounts take
+// turns.
+func (l *lateRequests) add(account string) int {
+	if l.counts == nil {
+		l.counts = map[string]int{}
+	}
+	l.counts[account]++
+	own, place := l.counts[account], 0
+	for _, n := range l.counts {
+		place += min(n, own)
+	}
+	return place
+}
+
+func (l *lateRequests) remove(account string) {
+	l.counts[account]--
+}
