Serve client accounts on routes: keys, revocation, priority and quota

Cause: keys went on to endpoints, there was no 401 and no 429, and a call that waited kept a key that was taken away. Change: the entry finds the account of a call, asks for its quota in batches, checks the key again before each attempt under a newer document, and tells endpoints the account; control answers the claims. Nothing of it runs without accounts in the configuration.

--- a/cmd/control/command.go
+++ b/cmd/control/command.go
@@ -71,6 +71,7 @@
 		routes.Handle(controlv1connect.NewAllocationServiceHandler(allocator, connect.WithInterceptors(security.CheckKey)))
 		routes.Handle(controlv1connect.NewStreamServiceHandler(streams.NewRegister(maxStreams), connect.WithInterceptors(security.CheckKey)))
 		go allocator.Run(ctx)
+		process.PublishMetric("Quotas", allocator.QuotaMetrics())
 		go control.NewBalancer(store, platform.NewEndpointClient(), allocator, s.Environment, time.Duration(s.OrderPause), log).Run(ctx)
 	}
 	peers := transport.NewServer(routes)
--- a/cmd/entry/platform.go
+++ b/cmd/entry/platform.go
@@ -12,6 +12,7 @@
 	"ebonyreel/platform"
 	"ebonyreel/process"
 	"ebonyreel/proto/control/v1/controlv1connect"
+	"ebonyreel/quota"
 	"ebonyreel/relay"
 	"ebonyreel/transport"
 )
@@ -27,6 +28,11 @@
 	allocations := controls.NewAllocations(p.client, member(s), p.log)
 	go allocations.RunReleases(ctx)
 	r.SetAllocator(allocations)
+	tolerance := quota.Tolerance{Excess: s.QuotaTolerance.Excess, Window: time.Duration(s.QuotaTolerance.Window)}
+	quotas := controls.NewQuotas(allocations, tolerance, p.hasAccounts, p.log)
+	go quotas.Run(ctx)
+	r.SetQuotas(quotas)
+	process.PublishMetric("Quotas", quotas.Metrics())
 	streams := controls.NewStreams(p.client, p.view, s.Peers, s.Environment, p.log)
 	r.SetStreams(streams)
 	process.PublishMetric("Streams", streams.Metrics())
@@ -46,3 +52,9 @@
 		},
 	}, nil
 }
+
+// hasAccounts reports whether requests need the key of a client account.
+func (p components) hasAccounts() bool {
+	d := p.view.Document()
+	return d != nil && d.Requests.NeedKey
+}
--- a/control/allocator.go
+++ b/control/allocator.go
@@ -58,13 +58,14 @@
 	// leadsSince is when this host began to lead, as the time since boot with
 	// suspensions included; zero while it does not lead.
 	leadsSince time.Duration
-	// document is the document in force, or nil before the first one.
-	document *document.Document
+	document   loadedDocument
 	// reconciled is when each member's newest report was received that is reconciled,
 	// keyed by member key.
 	reconciled map[string]time.Time
 	// reconciledAt is when reports were last looked through.
 	reconciledAt time.Time
+
+	quotas quotas
 }
 
 // allocationPool is a pool with the requests of which entries await decisions.
@@ -91,7 +92,10 @@
 
 // NewAllocator returns the allocation service of an environment.
 func NewAllocator(s *Store, environment string, log *logrus.Entry) *Allocator {
-	return &Allocator{store: s, environment: environment, log: log, pools: map[string]*allocationPool{}, reconciled: map[string]time.Time{}}
+	return &Allocator{
+		store: s, environment: environment, log: log, pools: map[string]*allocationPool{}, reconciled: map[string]time.Time{},
+		quotas: quotas{store: s, environment: environment, log: log},
+	}
 }
 
 // Run keeps the pools current until the context ends.
@@ -219,19 +223,11 @@
 
 // documentPool returns a pool of the document in force.
 func (a *Allocator) documentPool(name string) (document.Pool, bool) {
-	d := a.store.CurrentDocument(a.environment)
+	d := a.document.current(a.store, a.environment, a.log)
 	if d == nil {
 		return document.Pool{}, false
 	}
-	if a.document == nil || a.document.Number != d.GetNumber() {
-		loaded, err := document.Load(d.GetResolved())
-		if err != nil {
-			a.log.WithError(err).WithField("Number", d.GetNumber()).Error("document not loaded for allocation")
-			return document.Pool{}, false
-		}
-		a.document = loaded
-	}
-	return a.document.Pool(name)
+	return d.Pool(name)
 }
 
 // decide ends the tickets that are granted or refused, unless decisions were made just
@@ -314,6 +310,7 @@
 			PromptTokens: int(run.GetPromptTokens()), Output: p.outputOf(run), Arrived: now.Add(-run.GetAge().AsDuration()),
 			OnTimeUntil: now.Add(r.GetOnTimeLeft().AsDuration()), AbandonAt: now.Add(r.GetAbandonLeft().AsDuration()),
 			Priority: int(r.GetPriority()), Started: r.GetStarted(), Version: r.GetVersion(), Prefill: r.GetPrefill(), Excluded: r.GetExcluded(),
+			Account: r.GetAccount(),
 		})
 	}
 	t.waiters++
--- a/proto/control/v1/controlv1connect/control.connect.go
+++ b/proto/control/v1/controlv1connect/control.connect.go
@@ -76,6 +76,9 @@
 	// AllocationServiceReleaseProcedure is the fully-qualified name of the AllocationService's Release
 	// RPC.
 	AllocationServiceReleaseProcedure = "/control.v1.AllocationService/Release"
+	// AllocationServiceClaimQuotaProcedure is the fully-qualified name of the AllocationService's
+	// ClaimQuota RPC.
+	AllocationServiceClaimQuotaProcedure = "/control.v1.AllocationService/ClaimQuota"
 	// StreamServiceRecordStreamsProcedure is the fully-qualified name of the StreamService's
 	// RecordStreams RPC.
 	StreamServiceRecordStreamsProcedure = "/control.v1.StreamService/RecordStreams"
@@ -470,6 +473,7 @@
 type AllocationServiceClient interface {
 	Acquire(context.Context, *connect.Request[v1.AcquireRequest]) (*connect.Response[v1.AcquireResponse], error)
 	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
+	ClaimQuota(context.Context, *connect.Request[v1.ClaimQuotaRequest]) (*connect.Response[v1.ClaimQuotaResponse], error)
 }
 
 // NewAllocationServiceClient constructs a client for the control.v1.AllocationService service. By
@@ -495,13 +499,20 @@
 			connect.WithSchema(allocationServiceMethods.ByName("Release")),
 			connect.WithClientOptions(opts...),
 		),
+		claimQuota: connect.NewClient[v1.ClaimQuotaRequest, v1.ClaimQuotaResponse](
+			httpClient,
+			baseURL+AllocationServiceClaimQuotaProcedure,
+			connect.WithSchema(allocationServiceMethods.ByName("ClaimQuota")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // allocationServiceClient implements AllocationServiceClient.
 type allocationServiceClient struct {
-	acquire *connect.Client[v1.AcquireRequest, v1.AcquireResponse]
-	release *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
+	acquire    *connect.Client[v1.AcquireRequest, v1.AcquireResponse]
+	release    *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
+	claimQuota *connect.Client[v1.ClaimQuotaRequest, v1.ClaimQuotaResponse]
 }
 
 // Acquire calls control.v1.AllocationService.Acquire.
@@ -514,10 +525,16 @@
 	return c.release.CallUnary(ctx, req)
 }
 
+// ClaimQuota calls control.v1.AllocationService.ClaimQuota.
+func (c *allocationServiceClient) ClaimQuota(ctx context.Context, req *connect.Request[v1.ClaimQuotaRequest]) (*connect.Response[v1.ClaimQuotaResponse], error) {
+	return c.claimQuota.CallUnary(ctx, req)
+}
+
 // AllocationServiceHandler is an implementation of the control.v1.AllocationService service.
 type AllocationServiceHandler interface {
 	Acquire(context.Context, *connect.Request[v1.AcquireRequest]) (*connect.Response[v1.AcquireResponse], error)
 	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
+	ClaimQuota(context.Context, *connect.Request[v1.ClaimQuotaRequest]) (*connect.Response[v1.ClaimQuotaResponse], error)
 }
 
 // NewAllocationServiceHandler builds an HTTP handler from the service implementation. It returns
@@ -539,12 +556,20 @@
 		connect.WithSchema(allocationServiceMethods.ByName("Release")),
 		connect.WithHandlerOptions(opts...),
 	)
+	allocationServiceClaimQuotaHandler := connect.NewUnaryHandler(
+		AllocationServiceClaimQuotaProcedure,
+		svc.ClaimQuota,
+		connect.WithSchema(allocationServiceMethods.ByName("ClaimQuota")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/control.v1.AllocationService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AllocationServiceAcquireProcedure:
 			allocationServiceAcquireHandler.ServeHTTP(w, r)
 		case AllocationServiceReleaseProcedure:
 			allocationServiceReleaseHandler.ServeHTTP(w, r)
+		case AllocationServiceClaimQuotaProcedure:
+			allocationServiceClaimQuotaHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -562,6 +587,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("control.v1.AllocationService.Release is not implemented"))
 }
 
+func (UnimplementedAllocationServiceHandler) ClaimQuota(context.Context, *connect.Request[v1.ClaimQuotaRequest]) (*connect.Response[v1.ClaimQuotaResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("control.v1.AllocationService.ClaimQuota is not implemented"))
+}
+
 // StreamServiceClient is a client for the control.v1.StreamService service.
 type StreamServiceClient interface {
 	RecordStreams(context.Context, *connect.Request[v1.RecordStreamsRequest]) (*connect.Response[v1.RecordStreamsResponse], error)
--- a/relay/allocate.go
+++ b/relay/allocate.go
@@ -108,6 +108,7 @@
 	start, run := time.Now(), r.newRun(cs)
 	in := &controlv1.AcquireRequest{
 		Pool: cs.pool.Name, Run: run, Priority: int32(cs.route.Priority), Prefill: cs.prefills == 0,
+		Account: cs.account.Name,
 	}
 	if cs.origin != nil {
 		in.Started, in.Version = true, cs.origin.GetVersion()
--- a/relay/call.go
+++ b/relay/call.go
@@ -41,6 +41,8 @@
 	ResumedRequest string
 	// Prompt is declared by requests to model engines.
 	Prompt Prompt
+	// KeyHash is the SHA-256 of the caller's key, in hexadecimal; empty for none.
+	KeyHash string
 }
 
 // Prompt is what a request declares about its prompt. The zero value declares
@@ -95,6 +97,8 @@
 	Source Handle
 	// ReservationID is the ID of the reservation of the engine's memory, or empty.
 	ReservationID string
+	// Account is the name of the client account that holds the caller's key, or empty.
+	Account string
 }
 
 // Reply is the head of an endpoint's answer, with its body still to be read.
@@ -171,12 +175,18 @@
 	// Crashing means that endpoints crashed while they ran the request's content,
 	// so that no other endpoint is attempted.
 	Crashing Reason = "crashing"
+	// UnknownKey means that the caller's key is none of the document, or none any more.
+	UnknownKey Reason = "unknown_key"
+	// OverQuota means that the caller's account has used up its quota.
+	OverQuota Reason = "over_quota"
+	// QuotaUnknown means that it is not known whether the account has used up its quota.
+	QuotaUnknown Reason = "quota_unknown"
 )
 
 // NotRun reports whether the reason guarantees that the request has not run.
 func (r Reason) NotRun() bool {
 	switch r {
-	case Unready, Stopping, NoEndpoint, UnknownStream, Busy, Unreachable, Expired, Crashing:
+	case Unready, Stopping, NoEndpoint, UnknownStream, Busy, Unreachable, Expired, Crashing, UnknownKey, OverQuota, QuotaUnknown:
 		return true
 	}
 	return false
--- a/relay/call_state.go
+++ b/relay/call_state.go
@@ -15,7 +15,13 @@
 	route          document.Route
 	pool           document.Pool
 	documentNumber uint64
-	deadline       time.Time
+	// account is the client account; its name is empty for none. keyCheckedAt is the
+	// number of the document that had its key, and quotaTaken what the call took of its
+	// quota.
+	account      document.Caller
+	keyCheckedAt uint64
+	quotaTaken   float64
+	deadline     time.Time
 	// firstArrived is when the call arrived for the first time, before its caller
 	// retried it, as estimated from its timeout.
 	firstArrived time.Time
--- a/relay/errors.go
+++ b/relay/errors.go
@@ -106,7 +106,10 @@
 	var crashingPart *CrashingPartError
 	var deferred *DeferredError
 	var unknownOrigin *UnknownOriginError
+	var key *KeyError
 	switch {
+	case errors.As(err, &key):
+		return UnknownKey
 	case errors.As(err, &noEndpoint):
 		return NoEndpoint
 	case errors.As(err, &unknownOrigin):
@@ -156,10 +159,11 @@
 	var callerGone *CallerGoneError
 	var stall *StallError
 	var crashingPart *CrashingPartError
+	var key *KeyError
 	switch {
 	case err == nil:
 		return resultSuccess
-	case errors.As(err, &callerGone), errors.As(err, &crashingPart), errors.Is(ctx.Err(), context.Canceled):
+	case errors.As(err, &callerGone), errors.As(err, &crashingPart), errors.As(err, &key), errors.Is(ctx.Err(), context.Canceled):
 		return resultUnknown
 	case errors.As(err, &notRun) && !notRun.Misdirected:
 		return resultFull
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -165,15 +165,20 @@
 }
 
 // prepareAttempt returns an attempt with reserved memory, after the prompt was computed
-// by a prefill engine where one is used. The error is a *CrashingPartError.
+// by a prefill engine where one is used. The error is a *CrashingPartError or a *KeyError.
 func (r *Relay) prepareAttempt(ctx context.Context, cs *callState, s reservation) (Attempt, error) {
 	var h Handle
-	err := r.recheckParts(cs)
+	err := r.checkKey(cs)
+	if err == nil {
+		err = r.recheckParts(cs)
+	}
 	// A trial uses one engine only.
 	if err == nil && cs.trial == nil && r.usesPrefillEngine(ctx, cs) {
 		h = r.prefill(ctx, cs, s)
 		r.endPrefill(cs, s, h.At.Name != s.prefillEngine)
-		err = r.recheckParts(cs)
+		if err = r.checkKey(cs); err == nil {
+			err = r.recheckParts(cs)
+		}
 	}
 	t := r.newAttempt(cs, s.endpoint)
 	t.Source, t.ReservationID = h, s.id
@@ -273,7 +278,7 @@
 	q, start := r.queueOf(cs.pool.Name), time.Now()
 	for {
 		w := newWaiter(onTimeUntil, abandonAt, cs.route.Priority)
-		w.Started = cs.origin != nil
+		w.Started, w.Account, w.PromptTokens = cs.origin != nil, cs.account.Name, cs.call.Prompt.Tokens
 		if !q.acquire(ctx, w) {
 			return reservation{}, &QueueTimeoutError{Waited: time.Since(start)}
 		}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -76,6 +76,10 @@
 	PrefillTokens labelCounter
 	// Resumed is keyed by outcome: the requests whose callers resume a stream.
 	Resumed labelCounter
+	// Accounts is keyed by account and outcome, and QuotaWait by account: the time that a
+	// request waits for its quota.
+	Accounts  labelCounter
+	QuotaWait histogram
 	// Reserved is keyed by pool: the tokens of engine memory now reserved for calls.
 	Reserved labelCounter
 }
@@ -95,6 +99,9 @@
 // callEnded counts the end of a call.
 func (m *metrics) callEnded(cs *callState, outcome string) {
 	m.Requests.add(cs.route.Name+" "+outcome, 1)
+	if cs.account.Name != "" {
+		m.Accounts.add(cs.account.Name+" "+outcome, 1)
+	}
 	if cs.call.LastEvent != "" {
 		m.Resumed.add(outcome, 1)
 	}
@@ -126,7 +133,7 @@
 		"Requests": &m.Requests, "Answered": &m.Answered, "Refused": &m.Refused, "Late": &m.Late,
 		"First": &m.First, "Gap": &m.Gap, "Queue": &m.Queue, "Prefill": &m.Prefill,
 		"Retried": &m.Retried, "OverBudget": &m.OverBudget, "RetriesLeft": expvar.Func(r.retriesLeft),
-		"PrefillTokens": &m.PrefillTokens, "Reserved": &m.Reserved, "Resumed": &m.Resumed, "DecisionsDropped": r.decisions.Dropped,
+		"PrefillTokens": &m.PrefillTokens, "Reserved": &m.Reserved, "Resumed": &m.Resumed, "Accounts": &m.Accounts, "QuotaWait": &m.QuotaWait, "DecisionsDropped": r.decisions.Dropped,
 		"Waiting": expvar.Func(r.queueLengths), "InFlight": expvar.Func(func() any { return r.inFlight.Load() }),
 	} {
 		vars.Set(name, v)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -102,6 +102,8 @@
 	allocator Allocator
 	// streams knows where streams began.
 	streams Streams
+	// quotas are those of client accounts; nil for none.
+	quotas Quotas
 	// draining is true once new streams are refused, as they may last longer than
 	// the process.
 	draining atomic.Bool
@@ -141,6 +143,10 @@
 		r.refuse(cs, Refusal{Reason: NoRoute}, nil)
 		return
 	}
+	if err := r.identify(cs, d); err != nil {
+		r.refuse(cs, Refusal{Reason: UnknownKey}, err)
+		return
+	}
 	if cs.route.Kind == document.KindStream && r.draining.Load() {
 		r.refuse(cs, Refusal{Reason: Stopping, RetryAfter: stoppingRetryAfter}, nil)
 		return
@@ -168,7 +174,10 @@
 		r.endFailed(ctx, cs, originErr)
 		return
 	}
-	r.run(ctx, cs)
+	if r.takeQuota(ctx, cs) {
+		r.run(ctx, cs)
+		r.returnQuota(cs)
+	}
 }
 
 // document returns the document in force, or nil where none is known. A process
@@ -252,8 +261,9 @@
 	var queueTimeout *QueueTimeoutError
 	var crashingPart *CrashingPartError
 	var deferred *DeferredError
+	var key *KeyError
 	switch {
-	case errors.As(err, &callerGone), errors.As(err, &crashingPart), errors.As(err, &deferred):
+	case errors.As(err, &callerGone), errors.As(err, &crashingPart), errors.As(err, &deferred), errors.As(err, &key):
 		return false
 	case errors.As(err, &dialErr):
 		cs.dialFailures++
@@ -333,7 +343,7 @@
 		"Request": logs.Truncate(cs.call.ID), "Route": cs.route.Name, "Serves": cs.pool.Name, "DocumentNumber": cs.documentNumber,
 		"Sent": cs.sent, "Unsent": cs.dialFailures,
 		"ElapsedMilliseconds": time.Since(cs.call.Arrived).Milliseconds(), "LastEvent": logs.Truncate(cs.lastEvent),
-	})
+	}).WithFields(cs.accountFields())
 	if err != nil {
 		e = e.WithError(err)
 	}
@@ -343,6 +353,9 @@
 // attempt sends a call to one endpoint and forwards the answer. A nil error
 // means that the caller has its final answer.
 func (r *Relay) attempt(ctx context.Context, cs *callState) error {
+	if err := r.checkKey(cs); err != nil {
+		return err
+	}
 	if err := r.admitParts(ctx, cs); err != nil {
 		return err
 	}
@@ -365,7 +378,7 @@
 }
 
 func (r *Relay) newAttempt(cs *callState, e *controlv1.Endpoint) Attempt {
-	return Attempt{Endpoint: endpointOf(e), Deadline: cs.deadline, LastEvent: cs.lastEvent}
+	return Attempt{Endpoint: endpointOf(e), Deadline: cs.deadline, LastEvent: cs.lastEvent, Account: cs.account.Name}
 }
 
 // send makes one attempt, and cancels it where the endpoint stalls and another
