--- a/relay/account.go
+++ b/relay/account.go
@@ -115,9 +115,9 @@
 	QuotaUnknown() bool
 }
 
-// returnQuota gives back what a call took that no endpoint has seen.
+// returnQuota gives back what a call took that no endpoint has run.
 func (r *Relay) returnQuota(cs *callState) {
-	if cs.quotaTaken > 0 && cs.sent == 0 && cs.prefills == 0 {
+	if cs.quotaTaken > 0 && !cs.mayHaveRun && cs.prefills == 0 {
 		r.quotas.GiveBack(cs.account.Name, cs.quotaTaken)
 		cs.quotaTaken = 0
 	}
