Go on only with streams whose version is proved, also after all entries were killed

Cause: for a caller who does not name the request that began its stream, an entry took the one version in its view for the origin. An endpoint that starts again under its name with another version replaced its record, so that the old version was gone from the list with streams of it open; after all entries were killed their views held the new one only.

--- a/proof/platform_engine_test.go
+++ b/proof/platform_engine_test.go
@@ -85,10 +85,16 @@
 func (p *platformEngines) start(ctx context.Context, address netip.AddrPort, stage, version string) {
 	p.mu.Lock()
 	p.starts++
+	name := fmt.Sprintf("i-%d", p.starts)
+	p.mu.Unlock()
+	p.startNamed(ctx, name, address, stage, version)
+}
+
+// startNamed starts an engine under a name, which an engine that has ended may have had.
+func (p *platformEngines) startNamed(ctx context.Context, name string, address netip.AddrPort, stage, version string) {
 	e := &platformEngine{engines: p, announcedEndpoint: announcedEndpoint{
-		service: "engines", name: fmt.Sprintf("i-%d", p.starts), address: address, born: time.Now(), stage: stage, version: version,
+		service: "engines", name: name, address: address, born: time.Now(), stage: stage, version: version,
 	}}
-	p.mu.Unlock()
 	l, err := net.Listen("tcp", address.String())
 	if err != nil {
 		p.t.Error(err)
--- a/proof/platform_soak_test.go
+++ b/proof/platform_soak_test.go
@@ -213,7 +213,7 @@
 			fault()
 		})
 	}
-	streams := playStreams(t, s.entries, s.engines, platformSoakLength)
+	streams := playStreams(t, s.entries, s.engines, platformSoakLength, nil)
 	all.Wait()
 	checkVersions(t, streams)
 	checkResumptions(t, streams, func(r streamTry) bool { return !r.alone && s.calm(r.entry, r.sent) })
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -152,5 +152,6 @@
 	return c.start(p, settings.Entry{
 		Name: name, Environment: c.environment, FailureDomain: "osu", Callers: p.address, Operators: p.operators, Controls: c.controls,
 		Peers: ports.Free(), Policy: "reserve", Protocol: settings.Platform, RetryBudget: settings.RetryBudget{Ratio: 0.2, Slack: 52, Window: document.Duration(10 * time.Second)},
+		QuotaTolerance: settings.QuotaTolerance{Excess: quotaExcess * quotaTokens, Window: document.Duration(quotaWindow)},
 	})
 }
--- a/proof/platform_version_test.go
+++ b/proof/platform_version_test.go
@@ -66,7 +66,9 @@
 	events int
 	// misplaced is true where an event was missing or came twice.
 	misplaced bool
-	tries     []streamTry
+	// unnamed is true for a caller who does not name the request that began the stream.
+	unnamed bool
+	tries   []streamTry
 }
 
 // play gets a stream from entries. Every other caller leaves its connection after some
@@ -99,7 +101,9 @@
 	r.Close = true
 	if s.events > 0 {
 		r.Header.Set("Last-Event-Id", strconv.Itoa(s.events-1))
-		r.Header.Set("Resumes", s.began)
+		if !s.unnamed {
+			r.Header.Set("Resumes", s.began)
+		}
 	}
 	t := streamTry{id: id, sent: time.Now(), entry: entry, resumes: s.events > 0, alone: s.alone()}
 	res, err := http.DefaultClient.Do(r)
@@ -179,7 +183,7 @@
 			p.thaw()
 		}
 	})
-	streams := playStreams(t, entries, engines, versionLength)
+	streams := playStreams(t, entries, engines, versionLength, nil)
 	all.Wait()
 	checkVersions(t, streams)
 	judged := checkResumptions(t, streams, func(r streamTry) bool {
@@ -212,14 +216,15 @@
 	})
 }
 
-// playStreams begins streams for some time, and returns them once all have ended.
-func playStreams(t *testing.T, entries []*process, engines *platformEngines, length time.Duration) []*callersStream {
+// playStreams begins streams for some time, and returns them once all have ended. unnamed
+// tells which callers do not name the request that began their stream; nil for none.
+func playStreams(t *testing.T, entries []*process, engines *platformEngines, length time.Duration, unnamed func(n int) bool) []*callersStream {
 	t.Helper()
 	start := time.Now()
 	var streams []*callersStream
 	var all sync.WaitGroup
 	for n := 0; time.Since(start) < length; n++ {
-		s := &callersStream{id: fmt.Sprint("stream-", n), engines: engines, versions: map[string]bool{}}
+		s := &callersStream{id: fmt.Sprint("stream-", n), engines: engines, versions: map[string]bool{}, unnamed: unnamed != nil && unnamed(n)}
 		streams = append(streams, s)
 		all.Go(func() { s.play(t.Context(), entries, n) })
 		clock.Sleep(t.Context(), versionInterval)
--- a/relay/crashing_part_test.go
+++ b/relay/crashing_part_test.go
@@ -101,7 +101,11 @@
 
 func (c *crashingEngines) Changed() <-chan struct{} { return nil }
 
-func (c *crashingEngines) Versions(string) []string { return []string{""} }
+func (c *crashingEngines) Versions(context.Context, string) ([]string, error) {
+	return []string{""}, nil
+}
+
+func (c *crashingEngines) EndpointNamed(string) *controlv1.Endpoint { return nil }
 
 func (c *crashingEngines) Endpoints(string) []*controlv1.Endpoint {
 	c.mu.Lock()
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -98,6 +98,8 @@
 	if !cs.started {
 		if cs.origin == nil {
 			r.recordOrigin(cs)
+		} else if cs.route.Resumable {
+			r.recordResumption(cs)
 		}
 		if err := cs.answer.BeginStream(reply); err != nil {
 			return &CallerGoneError{Cause: err}
--- a/relay/origin.go
+++ b/relay/origin.go
@@ -4,9 +4,12 @@
 	"context"
 	"slices"
 
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"ebonyreel/document"
+	"ebonyreel/logs"
 	controlv1 "ebonyreel/proto/control/v1"
 )
 
@@ -70,7 +73,7 @@
 		}
 	}
 	if cs.call.ResumedRequest == "" {
-		return r.inferOrigin(cs, pools)
+		return r.inferOrigin(ctx, cs, pools)
 	}
 	o, err := r.streams.Find(ctx, cs.call.ResumedRequest)
 	if err != nil {
@@ -79,17 +82,42 @@
 	if !slices.Contains(pools, o.GetPool()) {
 		return &NoEndpointError{Pool: o.GetPool()}
 	}
+	if r.replaced(o) {
+		return &UnknownOriginError{Cause: &ReplacedEndpointError{Endpoint: o.GetEndpoint()}}
+	}
 	cs.origin = o
 	return nil
 }
 
+// ReplacedEndpointError reports a stream of which it is not known which version made its
+// events: its endpoint started again under its name with another version, and answers
+// before it announces itself.
+type ReplacedEndpointError struct {
+	Endpoint string
+}
+
+func (e *ReplacedEndpointError) Error() string {
+	return "endpoint " + e.Endpoint + " started again with another version"
+}
+
+// replaced reports whether the endpoint at which a stream began has started again under its
+// name with another version.
+func (r *Relay) replaced(o *controlv1.StreamOrigin) bool {
+	e := r.fleet.EndpointNamed(o.GetEndpoint())
+	return e != nil && e.GetLifetime() != o.GetEndpointLifetime() && e.GetVersion() != o.GetVersion()
+}
+
 // inferOrigin sets the origin of a stream whose caller does not name it, where there is
-// only one pool and version.
-func (r *Relay) inferOrigin(cs *callState, pools []string) error {
+// only one pool, and only one version has served there since the stream can have begun.
+func (r *Relay) inferOrigin(ctx context.Context, cs *callState, pools []string) error {
 	if len(pools) != 1 {
 		return &UnknownOriginError{}
 	}
-	switch versions := r.fleet.Versions(pools[0]); len(versions) {
+	versions, err := r.fleet.Versions(ctx, pools[0])
+	if err != nil {
+		return &UnknownOriginError{Cause: err}
+	}
+	switch len(versions) {
 	case 0:
 		return &NoEndpointError{Pool: pools[0]}
 	case 1:
@@ -103,12 +131,22 @@
 func (r *Relay) recordOrigin(cs *callState) {
 	cs.origin = &controlv1.StreamOrigin{
 		Request: cs.call.ID, Pool: cs.pool.Name, Version: cs.endpoint.Version, Lifetime: durationpb.New(cs.timeLeft()),
+		Endpoint: cs.endpoint.Name, EndpointLifetime: cs.endpoint.Lifetime,
 	}
 	if cs.route.Resumable {
 		r.streams.Record(cs.origin)
+		r.logger(cs, nil).WithFields(logrus.Fields{"Endpoint": cs.endpoint.Name, "Version": logs.Truncate(cs.endpoint.Version)}).Info("stream began")
 	}
 }
 
+// recordResumption records the origin of a resumed stream under the ID of the request that
+// resumes it, as its caller may name that one next.
+func (r *Relay) recordResumption(cs *callState) {
+	o := proto.CloneOf(cs.origin)
+	o.Request, o.Lifetime = cs.call.ID, durationpb.New(cs.timeLeft())
+	r.streams.Record(o)
+}
+
 // members returns the endpoints that may serve a call: those of its pool and, for a
 // started stream, of its version.
 func (r *Relay) members(cs *callState) []*controlv1.Endpoint {
@@ -116,6 +154,9 @@
 	if cs.origin == nil {
 		return all
 	}
+	if r.replaced(cs.origin) {
+		return nil
+	}
 	return ofVersion(all, cs.origin.GetVersion())
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -61,8 +61,10 @@
 	// Endpoints returns the endpoints of a pool that take work or are lost.
 	Endpoints(pool string) []*controlv1.Endpoint
 	// Versions returns the software versions of the endpoints of a pool, with those that
-	// have left lately.
-	Versions(pool string) []string
+	// have left lately. The error tells why it is not known that there are no others.
+	Versions(ctx context.Context, pool string) ([]string, error)
+	// EndpointNamed returns the newest record of an endpoint, or nil.
+	EndpointNamed(name string) *controlv1.Endpoint
 	// Entries returns the number of known entries.
 	Entries() int
 	// Changed returns a channel that is closed at the next change.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -30,6 +30,8 @@
 	endpoints []*controlv1.Endpoint
 	// documentAt is when the document appears.
 	documentAt time.Time
+	// unconfirmed is true where control does not confirm which versions there are.
+	unconfirmed bool
 }
 
 func (f *staticFleet) Document() *document.Document {
@@ -57,13 +59,25 @@
 	return out
 }
 
-func (f *staticFleet) Versions(pool string) []string {
+func (f *staticFleet) Versions(_ context.Context, pool string) ([]string, error) {
+	if f.unconfirmed {
+		return nil, errors.New("not confirmed")
+	}
 	var out []string
 	for _, e := range f.Endpoints(pool) {
 		out = append(out, e.GetVersion())
 	}
 	slices.Sort(out)
-	return slices.Compact(out)
+	return slices.Compact(out), nil
+}
+
+func (f *staticFleet) EndpointNamed(name string) *controlv1.Endpoint {
+	for _, e := range f.endpoints {
+		if e.GetName() == name {
+			return e
+		}
+	}
+	return nil
 }
 
 // scriptedEndpoints answers by a script with one line for each attempt.
--- a/relay/version_test.go
+++ b/relay/version_test.go
@@ -176,6 +176,75 @@
 	}
 }
 
+// TestUnconfirmedVersions guards against streams without the name of the request that began
+// them that go on while control does not confirm which versions there are: an entry that
+// has just started may know the newest one only.
+func TestUnconfirmedVersions(t *testing.T) {
+	f := twoVersions(t, 1, 0)
+	f.unconfirmed = true
+	synctest.Test(t, func(t *testing.T) {
+		v := &versionedEndpoints{scriptedEndpoints: scriptedEndpoints{script: []string{"events 3"}}}
+		out := &recordingCaller{}
+		c := newLetter("r")
+		c.LastEvent = "2"
+		newVersionedRelay(t, f, v).Serve(t.Context(), c, out)
+		if want := "refused unknown_stream not-run=true retry-after=500ms\n"; out.out.String() != want || len(v.versions) > 0 {
+			t.Errorf("goes on at %q: %s", v.versions, out.out.String())
+		}
+	})
+}
+
+// TestReplacedEndpoint guards against streams whose endpoint has started again under its
+// name with another version. It answers before it announces itself, so that either version
+// may have made the events.
+func TestReplacedEndpoint(t *testing.T) {
+	for _, k := range []struct {
+		version  string
+		lifetime int64
+		want     string
+	}{
+		{version: "v1", lifetime: 7, want: "begin\nevent 3\n"},
+		{version: "v1", lifetime: 5, want: "begin\nevent 3\n"},
+		{version: "v2", lifetime: 7, want: "refused unknown_stream not-run=true retry-after=500ms\n"},
+	} {
+		f := twoVersions(t, 4, 0)
+		f.endpoints[0].Version, f.endpoints[0].Lifetime = k.version, k.lifetime
+		synctest.Test(t, func(t *testing.T) {
+			v := &versionedEndpoints{scriptedEndpoints: scriptedEndpoints{script: []string{"events 3"}}}
+			out := &recordingCaller{}
+			r := newVersionedRelay(t, f, v)
+			r.SetStreams(knownStreams{"first": {Request: "first", Pool: "engines", Version: "v1", Endpoint: "e0", EndpointLifetime: 5}})
+			c := newLetter("r")
+			c.LastEvent, c.ResumedRequest = "2", "first"
+			r.Serve(t.Context(), c, out)
+			if out.out.String() != k.want {
+				t.Errorf("lifetime %d of %s: %s", k.lifetime, k.version, out.out.String())
+			}
+		})
+	}
+}
+
+// TestResumedTwice guards against a refusal of a caller who names the request that resumed
+// its stream, not the one that began it.
+func TestResumedTwice(t *testing.T) {
+	f := twoVersions(t, 4, 0)
+	synctest.Test(t, func(t *testing.T) {
+		streams := knownStreams{"first": {Request: "first", Pool: "engines", Version: "v1"}}
+		for i, id := range []string{"second", "third"} {
+			v := &versionedEndpoints{scriptedEndpoints: scriptedEndpoints{script: []string{fmt.Sprint("events ", 3+i)}}}
+			out := &recordingCaller{}
+			r := newVersionedRelay(t, f, v)
+			r.SetStreams(streams)
+			c := newLetter(id)
+			c.LastEvent, c.ResumedRequest = fmt.Sprint(2+i), []string{"first", "second"}[i]
+			r.Serve(t.Context(), c, out)
+			if want := fmt.Sprintf("begin\nevent %d\n", 3+i); out.out.String() != want || !slices.Equal(v.versions, []string{"v1"}) {
+				t.Errorf("%s goes on at %q: %s", id, v.versions, out.out.String())
+			}
+		}
+	})
+}
+
 // TestPrefillKeepsVersion guards against prompts that an engine of another software version
 // computes than the one that decodes, while entries choose without control.
 func TestPrefillKeepsVersion(t *testing.T) {
--- a/state/endpoint.go
+++ b/state/endpoint.go
@@ -56,10 +56,21 @@
 		return nil, &TooManyRecordsError{Subject: "endpoints of " + e.GetEnvironment(), Kept: maxEndpoints}
 	}
 	s.endLifetimes(now, others)
+	if old != nil && next.GetLifetime() > old.GetLifetime() && next.GetVersion() != old.GetVersion() {
+		s.keepVersion(now, old)
+	}
 	s.publishEndpoint(now, next)
 	return &controlv1.AnnounceEndpointResponse{}, nil
 }
 
+// keepVersion keeps the record of a lifetime that another one of the same name replaces, as
+// that of an endpoint that has left. Streams that began at its version may be resumed.
+func (s *State) keepVersion(now time.Time, old *controlv1.Endpoint) {
+	kept := proto.CloneOf(old)
+	kept.Name = fmt.Sprintf("%s/%d", old.GetName(), old.GetLifetime())
+	s.endLifetime(now, kept)
+}
+
 // MergeEndpoint returns the record of an endpoint after an announcement, or nil
 // if the announcement changes nothing. The old record may be nil.
 func MergeEndpoint(old, e *controlv1.Endpoint) *controlv1.Endpoint {
--- a/state/endpoint_test.go
+++ b/state/endpoint_test.go
@@ -30,6 +30,7 @@
 	d.MaybeScanArgs(t, "name", &e.Name)
 	d.MaybeScanArgs(t, "address", &e.Address)
 	d.MaybeScanArgs(t, "serves", &e.Serves)
+	d.MaybeScanArgs(t, "version", &e.Version)
 	d.MaybeScanArgs(t, "lifetime", &e.Lifetime)
 	d.MaybeScanArgs(t, "state", &state)
 	d.MaybeScanArgs(t, "seconds", &seconds)
@@ -60,7 +61,11 @@
 	items, _ := s.List(Range{Prefix: EndpointPrefix("trial")})
 	for _, it := range items {
 		o := it.GetEndpoint()
-		fmt.Fprintf(&out, "%s lifetime=%d %s %s %s%s\n", o.GetName(), o.GetLifetime(), o.GetAddress(), o.GetServes(), strings.TrimPrefix(o.GetState().String(), "ENDPOINT_STATE_"), formatOrder(o))
+		version := ""
+		if o.GetVersion() != "" {
+			version = " " + o.GetVersion()
+		}
+		fmt.Fprintf(&out, "%s lifetime=%d %s %s %s%s%s\n", o.GetName(), o.GetLifetime(), o.GetAddress(), o.GetServes(), strings.TrimPrefix(o.GetState().String(), "ENDPOINT_STATE_"), version, formatOrder(o))
 	}
 	return out.String()
 }
--- a/streams/register.go
+++ b/streams/register.go
@@ -49,10 +49,12 @@
 	request     string
 }
 
-// place is a pool and the version of an endpoint in it.
+// place is a lifetime of an endpoint of a pool, and its version.
 type place struct {
-	pool    string
-	version string
+	pool     string
+	version  string
+	endpoint string
+	lifetime int64
 }
 
 type keptOrigin struct {
@@ -87,7 +89,7 @@
 
 // place returns the one copy of the place where a stream began.
 func (r *Register) place(o *controlv1.StreamOrigin) *place {
-	k := place{pool: o.GetPool(), version: o.GetVersion()}
+	k := place{pool: o.GetPool(), version: o.GetVersion(), endpoint: o.GetEndpoint(), lifetime: o.GetEndpointLifetime()}
 	p := r.places[k]
 	if p == nil {
 		p = &k
@@ -107,8 +109,16 @@
 			delete(r.origins, k)
 		}
 	}
-	if len(r.origins) == 0 {
-		clear(r.places)
+	if len(r.places) > len(r.origins) {
+		r.sweepPlaces()
+	}
+}
+
+// sweepPlaces removes the places that no origin is at.
+func (r *Register) sweepPlaces() {
+	clear(r.places)
+	for _, o := range r.origins {
+		r.places[*o.place] = o.place
 	}
 }
 
@@ -126,5 +136,8 @@
 	if !known || left <= 0 {
 		return nil
 	}
-	return &controlv1.StreamOrigin{Request: request, Pool: o.place.pool, Version: o.place.version, Lifetime: durationpb.New(left)}
+	return &controlv1.StreamOrigin{
+		Request: request, Pool: o.place.pool, Version: o.place.version, Lifetime: durationpb.New(left),
+		Endpoint: o.place.endpoint, EndpointLifetime: o.place.lifetime,
+	}
 }
