Tell requests of equal accounts apart by the priority of their routes

Change: the account's priority goes first, then the route's. Decision records name both the account and the priority.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -41,6 +41,8 @@
 	// Route is the name of the route that matched; it is empty for calls that
 	// name a model or a service.
 	Route string `json:",omitempty"`
+	// Priority is that of the request, where its account may go before its route.
+	Priority int `json:",omitempty"`
 	// Serves is the name of the requested model, service or pool.
 	Serves string `json:",omitempty"`
 	// DocumentNumber is the number of the document that was in force.
--- a/document/document.go
+++ b/document/document.go
@@ -122,8 +122,9 @@
 	// Patience is the longest wait of a call for its first token; zero means no
 	// limit.
 	Patience Duration
-	// RoutePriority goes before the Priority of a route, where 0 is the most urgent;
-	// nil leaves that of the route. It needs level 3.
+	// RoutePriority goes before the Priority of a route, where 0 is the most urgent:
+	// requests of accounts with the same one are told apart by that of the route. nil
+	// leaves that of the route alone. It needs level 3.
 	RoutePriority *int `json:",omitempty"`
 	// Quota bounds the requests on routes at all entries together. It needs level 3.
 	Quota Quota `json:",omitzero"`
--- a/relay/account.go
+++ b/relay/account.go
@@ -10,6 +10,10 @@
 	"ebonyreel/document"
 )
 
+// priorityRanks is the number of priorities of routes that are told apart among accounts
+// with the same priority.
+const priorityRanks = 100
+
 // Quotas decides whether requests are within the quotas of their accounts.
 type Quotas interface {
 	// Take waits until a request is within the quota of its account. The error is a
@@ -53,7 +57,7 @@
 	}
 	cs.account, cs.keyCheckedAt = c, d.Number
 	if c.RoutePriority != nil {
-		cs.route.Priority = *c.RoutePriority
+		cs.route.Priority = *c.RoutePriority*priorityRanks + min(cs.route.Priority, priorityRanks-1)
 	}
 	return nil
 }
--- a/relay/account_test.go
+++ b/relay/account_test.go
@@ -29,7 +29,7 @@
 	d, err := document.Parse(fmt.Appendf(nil, `{"Number": %d, "Level": 3, "Requests": {"NeedKey": true},
  "Pools": [{"Name": "desk"}, {"Name": "engines", "Engine": {"Slots": 12, "MemoryTokens": 33466, "HandleLives": "500ms", "HoldLives": "2s"}}],
  "Callers": [
-  {"Name": "club", "KeyHash": "%s"%s, "RoutePriority": 0, "Quota": {"Unit": "Tokens", "PerSecond": 1000, "Burst": 1000, "PlainTokens": 200}},
+  {"Name": "club", "KeyHash": "%s"%s, "RoutePriority": 1, "Quota": {"Unit": "Tokens", "PerSecond": 1000, "Burst": 1000, "PlainTokens": 200}},
   {"Name": "free", "KeyHash": "%s"}],
  "Routes": [
   {"Name": "bookings", "Host": "h", "PathPrefix": "/bookings/", "Kind": "Once", "Split": [{"Name": "desk", "Weight": 1}], "Timeout": "3s", "Target": "300ms", "Priority": 2},
--- a/relay/record.go
+++ b/relay/record.go
@@ -13,6 +13,7 @@
 	cs.record.Update(func(d *decision.Record) {
 		p := cs.call.Prompt
 		d.Route, d.Serves, d.DocumentNumber = cs.route.Name, cs.pool.Name, cs.documentNumber
+		d.Caller, d.Priority = cs.account.Name, cs.route.Priority
 		d.PromptTokens, d.MaxOutput, d.ExpectedOutput = p.Tokens, p.MaxOutput, p.ExpectedOutput
 		d.ResumedRequest, d.ResumedAfter = logs.Truncate(cs.call.ResumedRequest), logs.Truncate(cs.call.LastEvent)
 	})
