Place streams by the pace of engines, and let cheap and old requests of an account take turns

Cause: requests of one class differ by up to 40 times in what they cost an engine, and engines by 1.4 in how fast they are (docs/design/effort.md); grants went by arrival and memory alone. Change: package effort estimates both from what entries report; LearnPaces in control's settings and accounts in the configuration switch it on.

--- a/allocation/fairness_test.go
+++ b/allocation/fairness_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+
+	"ebonyreel/stages"
 )
 
 // TestTurns runs scripts of requests that wait in a Queue. An account's name and a number
@@ -17,11 +20,12 @@
 			out := ""
 			switch d.Cmd {
 			case "ask":
-				account, count, tokens, priority := "", 1, 0, 0
+				account, count, tokens, priority, weight := "", 1, 0, 0, 0
 				d.MaybeScanArgs(t, "account", &account)
 				d.MaybeScanArgs(t, "count", &count)
 				d.ScanArgs(t, "tokens", &tokens)
 				d.MaybeScanArgs(t, "priority", &priority)
+				d.MaybeScanArgs(t, "weight", &weight)
 				onTime := now.Add(time.Minute)
 				if d.HasArg("late") {
 					onTime = now
@@ -29,7 +33,7 @@
 				for range count {
 					ids[account]++
 					q.Add(&Request{
-						ID: fmt.Sprint(account, ids[account]), Account: account, PromptTokens: tokens, Priority: priority,
+						ID: fmt.Sprint(account, ids[account]), Account: account, PromptTokens: tokens, Priority: priority, Weight: float64(weight),
 						Arrived: now, OnTimeUntil: onTime, AbandonAt: now.Add(10 * time.Second),
 					})
 				}
@@ -59,3 +63,39 @@
 		})
 	})
 }
+
+// TestSlowEngine places streams at twelve engines of which one turns slow by six while it
+// takes work, and one is slower by a third: an engine gets less the slower it is, and all
+// of the others' room is used before that of the slow one.
+func TestSlowEngine(t *testing.T) {
+	now := time.Unix(0, 0)
+	p := &Pool{
+		Memory: 27_000, Slots: 32, TypicalOutput: 400, LearnPaces: true,
+		Speeds: Speeds{PrefillPerToken: 30 * time.Microsecond, DecodePerToken: 6 * time.Millisecond, Start: 200 * time.Millisecond},
+	}
+	var engines []Engine
+	for i := range 12 {
+		engines = append(engines, Engine{Name: fmt.Sprint("e", i), Stage: stages.Decode})
+	}
+	p.SetEngines(engines)
+	for i, e := range engines {
+		perToken := map[int]time.Duration{0: 36 * time.Millisecond, 1: 8 * time.Millisecond}[i]
+		for range 5 {
+			p.paces.Observe(e.Name, max(perToken, 6*time.Millisecond), now)
+		}
+	}
+	got := map[string]int{}
+	for i := range 48 {
+		p.Enqueue(&Request{
+			ID: fmt.Sprint("r", i), PromptTokens: 3000, Output: Length{LogMedian: math.Log(400)}, Arrived: now, OnTimeUntil: now.Add(time.Second), AbandonAt: now.Add(time.Minute),
+		})
+	}
+	grants, _ := p.Decide(now)
+	for _, g := range grants {
+		got[g.Decode]++
+	}
+	if len(grants) != 48 || got["e0"] > 0 || got["e1"] >= got["e2"] {
+		t.Errorf("%d streams placed: %v", len(grants), got)
+	}
+	t.Logf("%v", got)
+}
--- a/allocation/pool.go
+++ b/allocation/pool.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"ebonyreel/effort"
 	"ebonyreel/stages"
 )
 
@@ -38,6 +39,9 @@
 	// noPrefillCost is added to the load of an engine that has to compute the prompt
 	// itself, between the tokens of its runs, while engines of other versions do not.
 	noPrefillCost = 0.25
+	// slownessCost is added to the load of an engine for each time of the usual that it
+	// takes longer for a token, as a fraction of its memory.
+	slownessCost = 0.5
 	// maxBlocked bounds the requests that are tried without success in one round.
 	maxBlocked = 32
 )
@@ -83,8 +87,12 @@
 	Prefill bool
 	// Excluded are engines that must not decode the request.
 	Excluded []string
-	// Account is the name of the client account; empty for none.
+	// Account is the name of the client account; empty for none. Accounts share the grants
+	// by their weights; zero counts as one.
 	Account string
+	Weight  float64
+	// work is what the request is likely to cost.
+	work effort.Work
 }
 
 // Grant is the memory of an engine that a request may reserve.
@@ -108,6 +116,8 @@
 	// TypicalOutput is the length of a typical answer, in tokens.
 	TypicalOutput float64
 	Speeds        Speeds
+	// LearnPaces is true where engines are chosen by their paces too.
+	LearnPaces bool
 
 	engines map[string]*engineState
 	// decoding and prefilling are the names of the engines of each stage, sorted.
@@ -118,6 +128,8 @@
 	waiting Queue
 	// scan is where the next sample of decode engines starts.
 	scan int
+	// paces are those of the decode engines.
+	paces effort.Paces
 }
 
 type engineState struct {
@@ -167,6 +179,7 @@
 	}
 	slices.Sort(p.decoding)
 	slices.Sort(p.prefilling)
+	p.paces.Forget(known)
 	for name, s := range p.engines {
 		if !known[name] && len(s.runs) == 0 {
 			delete(p.engines, name)
@@ -304,14 +317,18 @@
 		if earmarked[s.Name] || now.Before(s.avoidUntil) || !r.mayDecodeAt(s.Engine) || prefill.wait > maxPrefillWait {
 			continue
 		}
-		load := p.forecastOf(s, now).peak(&own) / float64(max(p.Memory, 1))
+		peak := p.forecastOf(s, now).peak(&own) / float64(max(p.Memory, 1))
+		load := peak
 		if s.FailureDomain != r.FailureDomain {
 			load += otherDomainCost
 		}
+		if p.LearnPaces {
+			load += slownessCost * (p.paces.Slowness(s.Name, now) - 1)
+		}
 		if prefill.engine == "" && len(prefills) > 0 {
 			load += noPrefillCost
 		}
-		fits := load <= 1 || len(s.runs) == 0
+		fits := peak <= 1 || len(s.runs) == 0
 		switch {
 		case (!fits || len(s.runs) >= p.Slots) && load < blockedLeast:
 			blockedBest, blockedLeast = s, load
--- a/allocation/queue.go
+++ b/allocation/queue.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"ebonyreel/effort"
 )
 
 const (
@@ -26,7 +28,8 @@
 // another engine. On-time requests go first, while started streams get every other
 // admission and late requests one in ten. No late request is admitted while a
 // started stream waits. Within each kind the most urgent goes first, then that of the
-// account which has had least, then the earliest. The zero value is empty.
+// account which has had least, then the earliest. An account's cheapest and its oldest
+// request take turns. The zero value is empty.
 type Queue struct {
 	// requests is in order of arrival.
 	requests []*Request
@@ -47,6 +50,7 @@
 
 // Add adds a request at the place of its arrival.
 func (q *Queue) Add(r *Request) {
+	r.work = effort.Estimate(r.PromptTokens, effort.Output(r.Output))
 	i := len(q.requests)
 	for i > 0 && q.requests[i-1].Arrived.After(r.Arrived) {
 		i--
@@ -88,7 +92,13 @@
 	switch {
 	case a == nil || b.Priority < a.Priority:
 		return b
-	case b.Priority == a.Priority && q.fairness.tag(b.Account) < q.fairness.tag(a.Account):
+	case b.Priority > a.Priority:
+		return a
+	case a.Account == b.Account:
+		if q.fairness.cheapest[a.Account] && b.work.Memory < a.work.Memory {
+			return b
+		}
+	case q.fairness.tag(b.Account) < q.fairness.tag(a.Account):
 		return b
 	}
 	return a
@@ -97,7 +107,7 @@
 // Admit removes a request whose turn it is.
 func (q *Queue) Admit(r *Request, now time.Time) {
 	q.Remove(r.ID)
-	q.fairness.admit(r.Account, r.cost())
+	q.fairness.admit(r.Account, r.work.Tokens, r.Weight)
 	if !r.Started && now.Before(r.OnTimeUntil) {
 		q.onTimeAdmitted++
 	} else {
--- a/allocation/reconcile.go
+++ b/allocation/reconcile.go
@@ -14,6 +14,8 @@
 	Output       Length
 	// Age is the time since its memory was reserved.
 	Age time.Duration
+	// PerToken is the time that its engine took for a token lately; zero before the first.
+	PerToken time.Duration
 }
 
 // Reconcile makes the runs of an owner those that it reports. A Pool that knows
@@ -23,6 +25,7 @@
 	reported := map[string]bool{}
 	for _, r := range runs {
 		reported[r.ID] = true
+		p.paces.Observe(r.Engine, r.PerToken, now)
 		if p.runs[r.ID] == nil {
 			p.addRun(&run{id: r.ID, owner: owner, engine: r.Engine, promptTokens: r.PromptTokens, output: r.Output, grantedAt: now.Add(-r.Age)})
 		}
--- a/cmd/control/command.go
+++ b/cmd/control/command.go
@@ -67,7 +67,7 @@
 		g := control.NewGateway(store, security.Client, connect.WithInterceptors(security.AddKey))
 		platform.NewAnnouncementHandler(g, s.Environment, log).Add(routes)
 		platform.NewConfigHandler(g, s.Environment, log).Add(routes)
-		allocator := control.NewAllocator(store, s.Environment, log)
+		allocator := control.NewAllocator(store, s.Environment, s.LearnPaces, log)
 		routes.Handle(controlv1connect.NewAllocationServiceHandler(allocator, connect.WithInterceptors(security.CheckKey)))
 		routes.Handle(controlv1connect.NewStreamServiceHandler(streams.NewRegister(maxStreams), connect.WithInterceptors(security.CheckKey)))
 		go allocator.Run(ctx)
--- a/control/allocator.go
+++ b/control/allocator.go
@@ -51,6 +51,8 @@
 	store       *Store
 	environment string
 	log         *logrus.Entry
+	// learnPaces is true where engines are placed by their paces.
+	learnPaces bool
 
 	mu sync.Mutex
 	// pools is keyed by the name of the pool.
@@ -90,10 +92,11 @@
 	lastCall time.Time
 }
 
-// NewAllocator returns the allocation service of an environment.
-func NewAllocator(s *Store, environment string, log *logrus.Entry) *Allocator {
+// NewAllocator returns the allocation service of an environment. learnPaces makes it place
+// streams by the paces of engines.
+func NewAllocator(s *Store, environment string, learnPaces bool, log *logrus.Entry) *Allocator {
 	return &Allocator{
-		store: s, environment: environment, log: log, pools: map[string]*allocationPool{}, reconciled: map[string]time.Time{},
+		store: s, environment: environment, learnPaces: learnPaces, log: log, pools: map[string]*allocationPool{}, reconciled: map[string]time.Time{},
 		quotas: quotas{store: s, environment: environment, log: log},
 	}
 }
@@ -162,7 +165,7 @@
 			for _, run := range p.GetRuns() {
 				runs = append(runs, allocation.Run{
 					ID: run.GetId(), Engine: run.GetEngine(), PromptTokens: int(run.GetPromptTokens()),
-					Output: pool.outputOf(run), Age: run.GetAge().AsDuration(),
+					Output: pool.outputOf(run), Age: run.GetAge().AsDuration(), PerToken: workload.Seconds(run.GetSecondsPerToken()),
 				})
 			}
 			pool.Reconcile(key, runs, now)
@@ -181,7 +184,7 @@
 func (a *Allocator) pool(name string) *allocationPool {
 	p := a.pools[name]
 	if p == nil {
-		p = &allocationPool{tickets: map[string]*ticket{}}
+		p = &allocationPool{Pool: allocation.Pool{LearnPaces: a.learnPaces}, tickets: map[string]*ticket{}}
 		a.pools[name] = p
 	}
 	return p
@@ -310,7 +313,7 @@
 			PromptTokens: int(run.GetPromptTokens()), Output: p.outputOf(run), Arrived: now.Add(-run.GetAge().AsDuration()),
 			OnTimeUntil: now.Add(r.GetOnTimeLeft().AsDuration()), AbandonAt: now.Add(r.GetAbandonLeft().AsDuration()),
 			Priority: int(r.GetPriority()), Started: r.GetStarted(), Version: r.GetVersion(), Prefill: r.GetPrefill(), Excluded: r.GetExcluded(),
-			Account: r.GetAccount(),
+			Account: r.GetAccount(), Weight: a.weight(r.GetAccount()),
 		})
 	}
 	t.waiters++
@@ -320,6 +323,17 @@
 	return t, nil
 }
 
+// weight returns the share of an account in the grants while there is too little room: its
+// quota, so that each is served in the same proportion. Zero counts as one.
+func (a *Allocator) weight(account string) float64 {
+	d := a.document.current(a.store, a.environment, a.log)
+	if account == "" || d == nil {
+		return 0
+	}
+	c, _ := d.CallerByName(account)
+	return c.Quota.PerSecond
+}
+
 // leave ends one call's wait and returns its response.
 func (a *Allocator) leave(ctx context.Context, r *controlv1.AcquireRequest, t *ticket) (*controlv1.AcquireResponse, error) {
 	a.mu.Lock()
--- a/relay/allocate.go
+++ b/relay/allocate.go
@@ -40,6 +40,8 @@
 	pool       string
 	run        *controlv1.PoolRun
 	reservedAt time.Time
+	// perToken is the time that the engine took for a token lately.
+	perToken time.Duration
 }
 
 // nextID returns an ID for a run of a call, unique among all entries.
@@ -59,6 +61,16 @@
 	t.runs[run.GetId()] = poolRun{pool: pool, run: run, reservedAt: time.Now()}
 }
 
+// flowed takes the time a token of the newest event of a run.
+func (t *runTable) flowed(id string, perToken time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.runs[id]; ok {
+		r.perToken = movingMean(r.perToken, perToken)
+		t.runs[id] = r
+	}
+}
+
 func (t *runTable) remove(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -74,6 +86,7 @@
 		out[r.pool] = append(out[r.pool], &controlv1.PoolRun{
 			Id: r.run.GetId(), Engine: r.run.GetEngine(), PromptTokens: r.run.GetPromptTokens(),
 			ExpectedOutput: r.run.GetExpectedOutput(), MaxOutput: r.run.GetMaxOutput(), Age: durationpb.New(time.Since(r.reservedAt)),
+			SecondsPerToken: r.perToken.Seconds(),
 		})
 	}
 	return out
--- a/relay/call_state.go
+++ b/relay/call_state.go
@@ -37,6 +37,8 @@
 	prepared      *reservation
 	begun         *begunAttempt
 	budgetCharged bool
+	// run is the ID of the run of the current or last attempt with reserved memory.
+	run string
 	// mayHaveRun is true once an endpoint may have run the call.
 	mayHaveRun bool
 	// prefills is the number of engines that were asked to compute the prompt, and
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -81,6 +81,7 @@
 		}
 		if !previous.IsZero() && cs.reservesMemory() {
 			r.workload.Decoded(cs.pool.Name, cs.eventTokens(), now.Sub(previous))
+			r.runs.flowed(cs.run, now.Sub(previous)/time.Duration(cs.eventTokens()))
 		}
 		previous = now
 		cs.attemptEvents++
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -127,6 +127,7 @@
 	if err != nil {
 		return err
 	}
+	cs.run = s.run
 	reserved := time.Now()
 	defer r.metrics.memoryReserved(cs.pool.Name, s.tokens)()
 	var t Attempt
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -141,6 +141,9 @@
 	// OrderPause is how long a new leader waits before it gives orders to
 	// endpoints. After this time a former leader gives no more orders.
 	OrderPause document.Duration `json:",omitzero"`
+	// LearnPaces makes control place streams by how slow each engine is at its tokens,
+	// learned from those that it runs. Without it all count as equally fast.
+	LearnPaces bool `json:",omitempty"`
 	// MemoryMegabytes is the memory of the host that the process may use, in
 	// mebibytes. Zero means no limit.
 	MemoryMegabytes int
