Soak accounts, quotas, and all entries killed at once

Cause: the soak of the platform's path knew no accounts, and killed one entry at a time. Change: an account floods all entries while faults overlap, and the checker counts what its endpoint saw in each window; some callers do not name the request that began their stream.

--- a/proof/platform_account_test.go
+++ b/proof/platform_account_test.go
@@ -105,6 +105,21 @@
 	c := newCluster(t, "production")
 	h := startPlatformHosts(c)
 	h.putConfigurationBody(t, 0, accountConfiguration(6, keys...))
+	service := startAccountService(t, c)
+	var entries []*process
+	for i := range 3 {
+		e := startPlatformEntry(c, fmt.Sprintf("entry-%d", i))
+		entries = append(entries, e)
+	}
+	for _, e := range entries {
+		eventually(t, 15*time.Second, e.name+" serves", func() bool { return accountCall(t, e, "free-key") == http.StatusOK })
+	}
+	return c, h, service, entries
+}
+
+// startAccountService starts an accountService that announces itself.
+func startAccountService(t *testing.T, c *cluster) *accountService {
+	t.Helper()
 	service := &accountService{ran: map[string][]time.Time{}}
 	address := ports.Free()
 	l, err := net.Listen("tcp", address.String())
@@ -114,16 +129,23 @@
 	server := &http.Server{Handler: service, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
-	announceService(t.Context(), t, announcedEndpoint{service: "desk", name: "i-1", address: address, born: time.Now(), version: "v1"}, c.controls)
-	var entries []*process
-	for i := range 3 {
-		e := startPlatformEntry(c, fmt.Sprintf("entry-%d", i))
-		entries = append(entries, e)
+	announceService(t.Context(), t, announcedEndpoint{service: "desk", name: "desk-1", address: address, born: time.Now(), version: "v1"}, c.controls)
+	return service
+}
+
+// checkQuota checks that the account club stayed within its quota in each window, and that
+// no key reached the endpoint.
+func checkQuota(t *testing.T, s *accountService, start time.Time) {
+	t.Helper()
+	allowed := (quotaRate*int(quotaWindow/time.Second)+quotaBurst)*11/10 + quotaExcess
+	most, begin := s.most("club")
+	t.Logf("at most %d requests of the account in a window, from %s on; %d allowed", most, begin.Sub(start), allowed)
+	if most > allowed {
+		t.Errorf("%d requests ran in the window from %s on, %d allowed", most, begin.Sub(start), allowed)
 	}
-	for _, e := range entries {
-		eventually(t, 15*time.Second, e.name+" serves", func() bool { return accountCall(t, e, "free-key") == http.StatusOK })
+	if s.keys > 0 {
+		t.Errorf("%d requests brought a key to the endpoint", s.keys)
 	}
-	return c, h, service, entries
 }
 
 // accountCall makes one call for the desk and returns its status; zero where there is none.
@@ -202,18 +224,11 @@
 	if least := 9 * (quotaRate*int(quotaCalm/time.Second) + quotaBurst) / 10; used < least {
 		t.Errorf("%d requests ran in the calm, at least %d are within the quota; statuses %v", used, least, calm)
 	}
-	allowed := (quotaRate*int(quotaWindow/time.Second)+quotaBurst)*11/10 + quotaExcess
-	most, begin := service.most("club")
-	t.Logf("%d in the calm %v; then statuses %v; most in a window %d, from %s on", used, calm, statuses, most, begin.Sub(start))
-	if most > allowed {
-		t.Errorf("%d requests ran in the window from %s on, %d allowed", most, begin.Sub(start), allowed)
-	}
+	t.Logf("%d in the calm %v; then statuses %v", used, calm, statuses)
+	checkQuota(t, service, start)
 	if n := service.ranSince("club", start.Add(quotaSilence+quotaOutage+revokedWithin)); n == 0 {
 		t.Error("no request ran after the silence of control")
 	}
-	if service.keys > 0 {
-		t.Errorf("%d requests brought a key to the endpoint", service.keys)
-	}
 }
 
 // TestPlatformKeyRevoked guards against a key that still serves after it was taken away,
--- a/proof/platform_engine_test.go
+++ b/proof/platform_engine_test.go
@@ -277,6 +277,7 @@
 	r.Header.Set("X-Deadline-Ms", "14000")
 	r.Header.Set("X-Model", "m")
 	r.Header.Set("X-Token-Count", "3000,100")
+	r.Header.Set("X-Credential", "free-key")
 	r.Header.Set("X-Prompt-Prefix", strings.Join(append(parts, id), ":100,")+":100")
 	return r, nil
 }
--- a/proof/platform_soak_test.go
+++ b/proof/platform_soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -87,6 +88,15 @@
 	return s.exclusive(p, func() { s.disturb(i, func() { fault(p) }) })
 }
 
+// atAllEntries makes a fault of all entries, which waits for those before at each.
+func (s *platformSoak) atAllEntries(fault func()) func() {
+	out := func() { s.disturb(allEntries, fault) }
+	for _, e := range s.entries {
+		out = s.exclusive(e, out)
+	}
+	return out
+}
+
 // atHosts makes a fault of some control hosts, which waits for the one before.
 func (s *platformSoak) atHosts(targets []*process, fault func(p *process), undo func(p *process), d time.Duration) func() {
 	return s.exclusive(s.hosts, func() {
@@ -107,9 +117,9 @@
 func (s *platformSoak) drawFault(random *rand.Rand, controlCalm bool) (string, func()) {
 	d := 200*time.Millisecond + time.Duration(random.Int64N(int64(2800*time.Millisecond)))
 	one := s.hosts.processes[random.IntN(len(s.hosts.processes)):][:1]
-	kinds := 11
+	kinds := 12
 	if controlCalm {
-		kinds = 7
+		kinds = 8
 	}
 	switch random.IntN(kinds) {
 	case 0:
@@ -153,10 +163,18 @@
 			}
 		}
 	case 7:
-		return "control host killed", s.atHosts(one, (*process).kill, s.startAgain, d)
+		return "all entries killed", s.atAllEntries(func() {
+			killAll(s.entries)
+			time.Sleep(d)
+			for _, e := range s.entries {
+				s.startAgain(e)
+			}
+		})
 	case 8:
-		return "control host frozen", s.atHosts(one, (*process).freeze, (*process).thaw, d)
+		return "control host killed", s.atHosts(one, (*process).kill, s.startAgain, d)
 	case 9:
+		return "control host frozen", s.atHosts(one, (*process).freeze, (*process).thaw, d)
+	case 10:
 		return "all control hosts frozen", s.atHosts(s.hosts.processes, (*process).freeze, (*process).thaw, d)
 	}
 	return "all control hosts killed", s.atHosts(s.hosts.processes, (*process).kill, s.startAgain, d)
@@ -179,8 +197,9 @@
 }
 
 // TestPlatformSoak guards against streams of two versions, refusals of streams that could go
-// on, and calls to engines that leave or want a pause, under random faults of entries, control
-// hosts and engines that overlap.
+// on, calls to engines that leave or want a pause, and accounts that use more than their quota
+// or pass their keys on, under random faults of entries, control hosts and engines that
+// overlap.
 func TestPlatformSoak(t *testing.T) {
 	for n := range *seedCount {
 		seed := *firstSeed + uint64(n)
@@ -194,7 +213,8 @@
 	random := rand.New(rand.NewPCG(seed, 6))
 	c := newCluster(t, "production")
 	s := &platformSoak{cluster: c, hosts: startPlatformHosts(c)}
-	s.hosts.putConfigurationBody(t, 0, []byte(platformConfiguration))
+	s.hosts.putConfigurationBody(t, 0, accountConfiguration(5, "club-key"))
+	service := startAccountService(t, c)
 	s.engines = newPlatformEngines(t, c.controls, 8, 4, "v1", "v2")
 	for i := range 4 {
 		s.entries = append(s.entries, startPlatformEntry(c, fmt.Sprintf("entry-%d", i)))
@@ -213,9 +233,16 @@
 			fault()
 		})
 	}
-	streams := playStreams(t, s.entries, s.engines, platformSoakLength, nil)
+	all.Go(func() { flood(t, s.entries, "club-key", platformSoakLength) })
+	streams := playStreams(t, s.entries, s.engines, platformSoakLength, func(n int) bool { return n%8 == 1 })
 	all.Wait()
+	checkQuota(t, service, start)
 	checkVersions(t, streams)
-	checkResumptions(t, streams, func(r streamTry) bool { return !r.alone && s.calm(r.entry, r.sent) })
+	checkResumptions(t, named(streams), func(r streamTry) bool { return !r.alone && s.calm(r.entry, r.sent) })
 	checkWords(t, s.engines, streams, s.disturbed)
 }
+
+// named returns the streams whose callers name the request that began them.
+func named(streams []*callersStream) []*callersStream {
+	return slices.DeleteFunc(slices.Clone(streams), func(s *callersStream) bool { return s.unnamed })
+}
