Give all of a quota to the entries that are left, and weigh accounts only by quotas that compare

Cause, found on reading: entries repeated the number of entries that the ledger had told them, so that the shares of entries gone for good stayed reserved for ever; and an account without a quota weighed one against quotas of hundreds of thousands. Change: the claimed number counts only while shares that an earlier ledger left may be in use.

--- a/Makefile
+++ b/Makefile
@@ -73,6 +73,7 @@
 # small numbers of simulated processes.
 bench-capacity: build
 	@scripts/capacity.sh
-	@go test ./document -run '^$$' -bench 'Parse|Load' -benchmem
+	@go test ./document -run '^$$' -bench 'Parse|Load|Account' -benchmem
+	@go test ./quota -run '^$$' -bench Claim -benchmem
 	@go test ./agents -run '^$$' -bench Renew -benchtime 3000x
 	@go test ./decision -run '^$$' -bench Record -benchmem
--- a/control/allocator.go
+++ b/control/allocator.go
@@ -324,10 +324,11 @@
 }
 
 // weight returns the share of an account in the grants while there is too little room: its
-// quota, so that each is served in the same proportion. Zero counts as one.
+// quota, so that each is served in the same proportion. Where quotas do not compare, all
+// have the same.
 func (a *Allocator) weight(account string) float64 {
 	d := a.document.current(a.store, a.environment, a.log)
-	if account == "" || d == nil {
+	if account == "" || d == nil || !a.document.weighted {
 		return 0
 	}
 	c, _ := d.CallerByName(account)
--- a/control/quota.go
+++ b/control/quota.go
@@ -48,6 +48,9 @@
 // loadedDocument is the document in force in its decoded form. The zero value has none.
 type loadedDocument struct {
 	document *document.Document
+	// weighted is true where all accounts have quotas in the same unit, so that these
+	// compare.
+	weighted bool
 }
 
 // current returns the document in force in an environment, or nil.
@@ -62,11 +65,21 @@
 			log.WithError(err).WithField("Number", d.GetNumber()).Error("document not loaded")
 			return nil
 		}
-		l.document = loaded
+		l.document, l.weighted = loaded, comparableQuotas(loaded)
 	}
 	return l.document
 }
 
+// comparableQuotas reports whether all accounts have quotas in the same unit.
+func comparableQuotas(d *document.Document) bool {
+	for _, c := range d.Callers {
+		if !c.Quota.Bounds() || c.Quota.Unit != d.Callers[0].Quota.Unit {
+			return false
+		}
+	}
+	return true
+}
+
 // claim answers a claim. The error is a *NotLeaderError or a *NotLearnedError.
 func (q *quotas) claim(r *controlv1.ClaimQuotaRequest) (quota.Answer, error) {
 	q.mu.Lock()
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -111,9 +111,9 @@
 	started time.Duration
 	// entries maps the name of an entry to its last claim.
 	entries map[string]contact
-	// claimed is the largest number of entries in the claims since claimedSince.
-	claimed      int
-	claimedSince time.Duration
+	// claimed is the largest number of entries in the claims. It counts while entries that
+	// this Ledger has never heard may use shares that an earlier one left them.
+	claimed int
 	// shared is the time that the buckets have been filled, where a second in which a
 	// part of the entries uses shares counts as the rest of it; sharedAt is the time up
 	// to which it was counted.
@@ -160,15 +160,13 @@
 
 // NewLedger returns a Ledger.
 func NewLedger(now time.Duration) *Ledger {
-	return &Ledger{started: now, sharedAt: now, claimedSince: now, entries: map[string]contact{}, accounts: map[string]*bucket{}}
+	return &Ledger{started: now, sharedAt: now, entries: map[string]contact{}, accounts: map[string]*bucket{}}
 }
 
 // Claim answers a claim. listed are the entries that control knows.
 func (l *Ledger) Claim(now time.Duration, c Claim, listed int, limits Limits) Answer {
 	l.fill(now, listed)
-	if c.Entries > l.claimed {
-		l.claimed, l.claimedSince = c.Entries, now
-	}
+	l.claimed = max(l.claimed, c.Entries)
 	l.entries[c.Entry] = contact{at: now, onShare: c.OnShare}
 	n := l.count(now, listed)
 	out := Answer{Lease: lease(n), Entries: n}
@@ -186,10 +184,11 @@
 // count returns the number of entries that share a quota: those that control lists, and
 // those that claimed lately, as they may use their shares while control does not see them.
 func (l *Ledger) count(now time.Duration, listed int) int {
-	if now-l.claimedSince > shareLifetime {
-		l.claimed, l.claimedSince = len(l.entries), now
+	n := max(listed, len(l.entries), 1)
+	if now-l.started <= shareLifetime+lease(n) {
+		n = max(n, l.claimed)
 	}
-	return max(listed, len(l.entries), l.claimed, 1)
+	return n
 }
 
 // fill counts the time since the last call. An entry is left its share where it has made
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -121,6 +121,8 @@
 		d.ScanArgs(t, "rate", &rate)
 		d.ScanArgs(t, "burst", &burst)
 		f.limits[account] = Limit{PerSecond: float64(rate), Burst: float64(burst)}
+	case "forget":
+		delete(f.stocks, entry)
 	case "leader":
 		f.ledger = NewLedger(now)
 	case "restart":
