Check a document before it is sent: what never matches and limits that contradict

Cause: document check named errors only, and read no configurations of the platform. Change: document.Review, warnings with names that can be silenced and the callers who would notice; check and diff read the platform's configurations through platform/; keys are shown by the start of their hashes.

--- a/cmd/ebonyreel/diff.go
+++ b/cmd/ebonyreel/diff.go
@@ -10,7 +10,8 @@
 )
 
 func newDiffCommand(o *options) *cobra.Command {
-	return &cobra.Command{
+	var isPlatform bool
+	c := &cobra.Command{
 		Use:   "diff FILE|NUMBER [FILE|NUMBER]",
 		Short: "Show what changes from one document to another",
 		Long: `Show what changes, field by field, from the first document to the second.
@@ -27,11 +28,11 @@
 			if len(args) == 1 {
 				args = []string{"0", args[0]}
 			}
-			before, err := o.readDocument(args[0])
+			before, err := o.readDocument(args[0], isPlatform)
 			if err != nil {
 				return err
 			}
-			after, err := o.readDocument(args[1])
+			after, err := o.readDocument(args[1], isPlatform)
 			if err != nil {
 				return err
 			}
@@ -39,11 +40,13 @@
 			return o.print(c.OutOrStdout(), changes, formatChanges(changes))
 		},
 	}
+	c.Flags().BoolVar(&isPlatform, "platform", false, "files are configurations of the users' platform")
+	return c
 }
 
 // readDocument returns an accepted document if name is a number, and otherwise
 // the document in the file of that name.
-func (o *options) readDocument(name string) (*document.Document, error) {
+func (o *options) readDocument(name string, isPlatform bool) (*document.Document, error) {
 	if n, err := strconv.ParseUint(name, 10, 64); err == nil {
 		d, err := o.documentByNumber(n)
 		if err != nil {
@@ -51,11 +54,7 @@
 		}
 		return document.Load(d.GetResolved())
 	}
-	b, err := readFile(name)
-	if err != nil {
-		return nil, err
-	}
-	return document.Parse(b)
+	return readDocumentFile(name, isPlatform)
 }
 
 // formatChanges returns the changes as text, one per line.
--- a/cmd/ebonyreel/document.go
+++ b/cmd/ebonyreel/document.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"ebonyreel/document"
+	"ebonyreel/platform"
 	"ebonyreel/process"
 	controlv1 "ebonyreel/proto/control/v1"
 )
@@ -72,17 +73,26 @@
 	return o.print(c.OutOrStdout(), s, s.String())
 }
 
+// checkedDocument is what is printed of a document that was checked.
+type checkedDocument struct {
+	documentSummary
+	Warnings []document.Warning
+}
+
 func newCheckCommand(o *options) *cobra.Command {
-	return &cobra.Command{
+	var isPlatform bool
+	var silenced []string
+	c := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a document without submitting it",
-		Args:  exactArgs(1),
+		Long: `Check a document without submitting it, and without a connection.
+
+Errors are those for which control would refuse it. Warnings name what can never match
+and limits that contradict each other, and which callers would notice. To see what
+differs from the document in force, use document diff.`,
+		Args: exactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			b, err := readFile(args[0])
-			if err != nil {
-				return err
-			}
-			d, err := document.Parse(b)
+			d, err := readDocumentFile(args[0], isPlatform)
 			if err != nil {
 				return err
 			}
@@ -90,9 +100,33 @@
 			if err != nil {
 				return err
 			}
-			return o.printSummary(c, documentSummary{Environment: o.environment, Number: d.Number, Digest: digest, Submitter: o.operator})
+			out := checkedDocument{documentSummary: documentSummary{Environment: o.environment, Number: d.Number, Digest: digest, Submitter: o.operator}}
+			text := out.String()
+			for _, w := range document.Review(d) {
+				if !slices.Contains(silenced, w.Name) {
+					out.Warnings, text = append(out.Warnings, w), text+"\n"+w.String()
+				}
+			}
+			return o.print(c.OutOrStdout(), out, text)
 		},
 	}
+	c.Flags().BoolVar(&isPlatform, "platform", false, "the file is a configuration of the users' platform")
+	c.Flags().StringSliceVar(&silenced, "silence", nil, "names of warnings that are not shown")
+	return c
+}
+
+// readDocumentFile reads a document, or a configuration of the users' platform.
+func readDocumentFile(name string, isPlatform bool) (*document.Document, error) {
+	b, err := readFile(name)
+	if err != nil {
+		return nil, err
+	}
+	if isPlatform {
+		if b, err = platform.ReadConfiguration(b); err != nil {
+			return nil, err
+		}
+	}
+	return document.Parse(b)
 }
 
 func newSubmitCommand(o *options) *cobra.Command {
--- a/cmd/ebonyreel/failure.go
+++ b/cmd/ebonyreel/failure.go
@@ -11,6 +11,7 @@
 	"ebonyreel/controls"
 	"ebonyreel/document"
 	"ebonyreel/faults"
+	"ebonyreel/platform"
 	controlv1 "ebonyreel/proto/control/v1"
 )
 
@@ -49,6 +50,10 @@
 	if errors.As(err, &check) {
 		return failure{Error: "the document is invalid", Advice: "correct the fields and check the document again", Faults: check.Faults, ExitCode: exitInvalid}
 	}
+	var configuration *platform.ConfigurationError
+	if errors.As(err, &configuration) {
+		return failure{Error: configuration.Error(), Advice: "correct the configuration and check it again", ExitCode: exitInvalid}
+	}
 	var usage *UsageError
 	if errors.As(err, &usage) {
 		return failure{Error: usage.Error(), Advice: "ebonyreel help lists flags and arguments", ExitCode: exitInvalid}
--- a/document/diff.go
+++ b/document/diff.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"encoding/hex"
 	"fmt"
 	"reflect"
 	"sort"
@@ -130,6 +131,13 @@
 	return out
 }
 
+// isKeyHash reports whether a text has the form of the hash of a key, of which only the
+// start is shown.
+func isKeyHash(s string) bool {
+	b, err := hex.DecodeString(s)
+	return err == nil && len(b) == keyHashBytes
+}
+
 // formatValue formats a value of a field. Texts are in quotes, so that an empty
 // one is visible.
 func formatValue(v reflect.Value) string {
@@ -138,6 +146,9 @@
 		return string(b)
 	}
 	if v.Kind() == reflect.String {
+		if isKeyHash(v.String()) {
+			return fmt.Sprintf("%.12q...", v.String())
+		}
 		return fmt.Sprintf("%q", v.String())
 	}
 	return fmt.Sprint(v.Interface())
