--- a/proof/platform_rejoin_test.go
+++ b/proof/platform_rejoin_test.go
@@ -1,7 +1,6 @@
 package proof
 
 import (
-	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -26,17 +25,7 @@
 // who name the request that began their stream, and callers who do not, go on at entries
 // that know nothing of before.
 func TestPlatformStreamsRejoined(t *testing.T) {
-	c := newCluster(t, "production")
-	h := startPlatformHosts(c)
-	h.putConfigurationBody(t, 0, []byte(platformConfiguration))
-	engines := newPlatformEngines(t, c.controls, 8, 4, "v1")
-	var entries []*process
-	for i := range 4 {
-		entries = append(entries, startPlatformEntry(c, fmt.Sprintf("entry-%d", i)))
-	}
-	for _, e := range entries {
-		awaitStreams(t, e)
-	}
+	c, _, engines, entries := startPlatform(t, "v1")
 	start := time.Now()
 	var all sync.WaitGroup
 	all.Go(func() {
--- a/proof/platform_soak_test.go
+++ b/proof/platform_soak_test.go
@@ -216,12 +216,7 @@
 	s.hosts.putConfigurationBody(t, 0, accountConfiguration(5, "club-key"))
 	service := startAccountService(t, c)
 	s.engines = newPlatformEngines(t, c.controls, 8, 4, "v1", "v2")
-	for i := range 4 {
-		s.entries = append(s.entries, startPlatformEntry(c, fmt.Sprintf("entry-%d", i)))
-	}
-	for _, e := range s.entries {
-		awaitStreams(t, e)
-	}
+	s.entries = startStreamEntries(c)
 	start := time.Now()
 	var all sync.WaitGroup
 	for range platformFaults {
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -42,17 +42,7 @@
 // platform. The leader of the control hosts and an entry are killed once the part is
 // known, and must not forget it.
 func TestPlatformCrashingPart(t *testing.T) {
-	c := newCluster(t, "production")
-	h := startPlatformHosts(c)
-	h.putConfigurationBody(t, 0, []byte(platformConfiguration))
-	engines := newPlatformEngines(t, c.controls, 8, 4, "v1")
-	var entries []*process
-	for i := range 4 {
-		entries = append(entries, startPlatformEntry(c, fmt.Sprintf("entry-%d", i)))
-	}
-	for _, e := range entries {
-		awaitStreams(t, e)
-	}
+	c, h, engines, entries := startPlatform(t, "v1")
 	start := time.Now()
 	var mu sync.Mutex
 	var sound []soundCall
@@ -129,6 +119,29 @@
 	}
 }
 
+// startPlatform starts control hosts, engines of some versions, and entries that serve.
+func startPlatform(t *testing.T, versions ...string) (*cluster, *hosts, *platformEngines, []*process) {
+	t.Helper()
+	c := newCluster(t, "production")
+	h := startPlatformHosts(c)
+	h.putConfigurationBody(t, 0, []byte(platformConfiguration))
+	engines := newPlatformEngines(t, c.controls, 8, 4, versions...)
+	return c, h, engines, startStreamEntries(c)
+}
+
+// startStreamEntries starts entries, and returns them once they serve streams.
+func startStreamEntries(c *cluster) []*process {
+	c.t.Helper()
+	var entries []*process
+	for i := range 4 {
+		entries = append(entries, startPlatformEntry(c, fmt.Sprintf("entry-%d", i)))
+	}
+	for _, e := range entries {
+		awaitStreams(c.t, e)
+	}
+	return entries
+}
+
 // startPlatformHosts starts three control hosts that find each other through seeds.
 func startPlatformHosts(c *cluster) *hosts {
 	c.t.Helper()
--- a/proof/platform_version_test.go
+++ b/proof/platform_version_test.go
@@ -154,17 +154,7 @@
 // programs on the users' platform: callers go on at other entries, an entry and engines
 // are killed, and an entry starts while no control host answers.
 func TestPlatformStreamVersion(t *testing.T) {
-	c := newCluster(t, "production")
-	h := startPlatformHosts(c)
-	h.putConfigurationBody(t, 0, []byte(platformConfiguration))
-	engines := newPlatformEngines(t, c.controls, 8, 4, "v1", "v2")
-	var entries []*process
-	for i := range 4 {
-		entries = append(entries, startPlatformEntry(c, fmt.Sprintf("entry-%d", i)))
-	}
-	for _, e := range entries {
-		awaitStreams(t, e)
-	}
+	c, h, engines, entries := startPlatform(t, "v1", "v2")
 	start := time.Now()
 	var all sync.WaitGroup
 	all.Go(func() {
@@ -208,7 +198,7 @@
 }
 
 // awaitStreams waits until an entry serves streams.
-func awaitStreams(t *testing.T, e *process) {
+func awaitStreams(t testing.TB, e *process) {
 	t.Helper()
 	eventually(t, 15*time.Second, e.name+" serves", func() bool {
 		begun, _ := platformCall(t.Context(), e, "warm-"+e.name+fmt.Sprint(time.Now().UnixNano()), "warm")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -182,48 +182,6 @@
 	}
 }
 
-// document returns the document in force, or nil where none is known. A process
-// that has just started waits for it during a part of its caller's time.
-func (r *Relay) document(ctx context.Context, c *Call) *document.Document {
-	if d := r.fleet.Document(); d != nil {
-		return d
-	}
-	wait := documentWait
-	if c.Timeout > 0 {
-		wait = min(wait, c.Timeout/documentWaitDivisor)
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	for {
-		changed := r.fleet.Changed()
-		if d := r.fleet.Document(); d != nil {
-			return d
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			return nil
-		case <-changed:
-		}
-	}
-}
-
-// pickShare returns the name of a pool, drawn at random by the weights of a route.
-func pickShare(shares []document.Share) string {
-	total := 0
-	for _, s := range shares {
-		total += s.Weight
-	}
-	n := rand.IntN(max(total, 1))
-	for _, s := range shares {
-		if n -= s.Weight; n < 0 {
-			return s.Name
-		}
-	}
-	return ""
-}
-
 func (r *Relay) retryAccountOf(pool string) *retryAccount {
 	a, _ := r.retryAccounts.LoadOrStore(pool, &retryAccount{})
 	return a.(*retryAccount)
