Keep the room of engines in other failure domains as it was

Change: room is judged as before, and slowness only ranks the engines; the scripts of TestPool stand in a folder of their own, unchanged.

--- a/allocation/pool.go
+++ b/allocation/pool.go
@@ -317,18 +317,18 @@
 		if earmarked[s.Name] || now.Before(s.avoidUntil) || !r.mayDecodeAt(s.Engine) || prefill.wait > maxPrefillWait {
 			continue
 		}
-		peak := p.forecastOf(s, now).peak(&own) / float64(max(p.Memory, 1))
-		load := peak
+		load := p.forecastOf(s, now).peak(&own) / float64(max(p.Memory, 1))
 		if s.FailureDomain != r.FailureDomain {
 			load += otherDomainCost
 		}
-		if p.LearnPaces {
-			load += slownessCost * (p.paces.Slowness(s.Name, now) - 1)
-		}
 		if prefill.engine == "" && len(prefills) > 0 {
 			load += noPrefillCost
 		}
-		fits := peak <= 1 || len(s.runs) == 0
+		fits := load <= 1 || len(s.runs) == 0
+		if p.LearnPaces {
+			// A slow engine is chosen last, and has as much room as the others.
+			load += slownessCost * (p.paces.Slowness(s.Name, now) - 1)
+		}
 		switch {
 		case (!fits || len(s.runs) >= p.Slots) && load < blockedLeast:
 			blockedBest, blockedLeast = s, load
--- a/allocation/simulation_test.go
+++ b/allocation/simulation_test.go
@@ -86,7 +86,7 @@
 // command for some seconds: a rate of calls per second, with the engines, domains or
 // entries that are lost at its start.
 func TestPool(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/pool", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var prefill, decode, entries int
 			d.ScanArgs(t, "prefill", &prefill)
