Decode the document once for grants and quotas, and have one error and one booking of quotas

Cause, found on reading the change again: the leader decoded and kept the document in force twice, once for grants and once for quotas; a log line of one account copied the use of all; two pieces of code booked returns by the same rule; relay matched a quota's refusal through an interface of its own, not by an error type; an unused field, a path built three times for each caller, and fields merged into each log line of a relay. Change: loadedDocument is shared; Ledger.Use; nextReturn and Limit.fillTime; quota.RefusedError. Behaviour, scripts and their expectations are as before.

--- a/allocation/fairness.go
+++ b/allocation/fairness.go
@@ -5,7 +5,7 @@
 // requests, and the lowest goes first. One that has waited for nothing starts at the tag
 // of the last admission, so that it saves up no claim. The zero value has no accounts.
 type fairness struct {
-	// tags is keyed by the name of the account; those at or below now are left out.
+	// tags is keyed by the name of the account. Those at or below now mean nothing.
 	tags map[string]float64
 	// now is the tag of the last admission.
 	now float64
--- a/control/allocator.go
+++ b/control/allocator.go
@@ -53,6 +53,8 @@
 	log         *logrus.Entry
 	// learnPaces is true where engines are placed by their paces.
 	learnPaces bool
+	document   *loadedDocument
+	quotas     quotas
 
 	mu sync.Mutex
 	// pools is keyed by the name of the pool.
@@ -60,14 +62,11 @@
 	// leadsSince is when this host began to lead, as the time since boot with
 	// suspensions included; zero while it does not lead.
 	leadsSince time.Duration
-	document   loadedDocument
 	// reconciled is when each member's newest report was received that is reconciled,
 	// keyed by member key.
 	reconciled map[string]time.Time
 	// reconciledAt is when reports were last looked through.
 	reconciledAt time.Time
-
-	quotas quotas
 }
 
 // allocationPool is a pool with the requests of which entries await decisions.
@@ -95,9 +94,10 @@
 // NewAllocator returns the allocation service of an environment. learnPaces makes it place
 // streams by the paces of engines.
 func NewAllocator(s *Store, environment string, learnPaces bool, log *logrus.Entry) *Allocator {
+	d := &loadedDocument{store: s, environment: environment, log: log}
 	return &Allocator{
 		store: s, environment: environment, learnPaces: learnPaces, log: log, pools: map[string]*allocationPool{}, reconciled: map[string]time.Time{},
-		quotas: quotas{store: s, environment: environment, log: log},
+		document: d, quotas: quotas{store: s, environment: environment, log: log, document: d},
 	}
 }
 
@@ -226,7 +226,7 @@
 
 // documentPool returns a pool of the document in force.
 func (a *Allocator) documentPool(name string) (document.Pool, bool) {
-	d := a.document.current(a.store, a.environment, a.log)
+	d, _ := a.document.current()
 	if d == nil {
 		return document.Pool{}, false
 	}
@@ -327,8 +327,11 @@
 // quota, so that each is served in the same proportion. Where quotas do not compare, all
 // have the same.
 func (a *Allocator) weight(account string) float64 {
-	d := a.document.current(a.store, a.environment, a.log)
-	if account == "" || d == nil || !a.document.weighted {
+	if account == "" {
+		return 0
+	}
+	d, weighted := a.document.current()
+	if !weighted {
 		return 0
 	}
 	c, _ := d.CallerByName(account)
--- a/control/quota.go
+++ b/control/quota.go
@@ -31,11 +31,11 @@
 	store       *Store
 	environment string
 	log         *logrus.Entry
+	document    *loadedDocument
 
 	mu sync.Mutex
 	// ledger is nil while the host does not lead.
-	ledger   *quota.Ledger
-	document loadedDocument
+	ledger *quota.Ledger
 	// entries is the number of entries as of countedAt.
 	entries   int
 	countedAt time.Duration
@@ -45,29 +45,37 @@
 	overClearedAt time.Duration
 }
 
-// loadedDocument is the document in force in its decoded form. The zero value has none.
+// loadedDocument is the document in force of an environment in its decoded form. It is safe
+// for concurrent use.
 type loadedDocument struct {
+	store       *Store
+	environment string
+	log         *logrus.Entry
+
+	mu       sync.Mutex
 	document *document.Document
 	// weighted is true where all accounts have quotas in the same unit, so that these
 	// compare.
 	weighted bool
 }
 
-// current returns the document in force in an environment, or nil.
-func (l *loadedDocument) current(s *Store, environment string, log *logrus.Entry) *document.Document {
-	d := s.CurrentDocument(environment)
+// current returns the document in force, or nil, and whether its quotas compare.
+func (l *loadedDocument) current() (*document.Document, bool) {
+	d := l.store.CurrentDocument(l.environment)
 	if d == nil {
-		return nil
+		return nil, false
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.document == nil || l.document.Number != d.GetNumber() {
 		loaded, err := document.Load(d.GetResolved())
 		if err != nil {
-			log.WithError(err).WithField("Number", d.GetNumber()).Error("document not loaded")
-			return nil
+			l.log.WithError(err).WithField("Number", d.GetNumber()).Error("document not loaded")
+			return nil, false
 		}
 		l.document, l.weighted = loaded, comparableQuotas(loaded)
 	}
-	return l.document
+	return l.document, l.weighted
 }
 
 // comparableQuotas reports whether all accounts have quotas in the same unit.
@@ -88,7 +96,7 @@
 	if err := q.checkLeads(now); err != nil {
 		return quota.Answer{}, err
 	}
-	d := q.document.current(q.store, q.environment, q.log)
+	d, _ := q.document.current()
 	if d == nil {
 		return quota.Answer{}, &NotLearnedError{}
 	}
@@ -119,7 +127,7 @@
 			continue
 		}
 		q.overLogged[g.Account] = true
-		u := q.ledger.Used()[g.Account]
+		u := q.ledger.Use(g.Account)
 		q.log.WithFields(logrus.Fields{"Account": g.Account, "Admitted": u.Admitted, "Refused": u.Refused, "Tokens": u.Tokens, "Entries": a.Entries, "InTouch": q.ledger.InTouch()}).
 			Info("account has used up its quota")
 	}
--- a/controls/quotas.go
+++ b/controls/quotas.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"expvar"
-	"fmt"
 	"sync"
 	"time"
 
@@ -28,39 +27,10 @@
 	quotaIdleTick  = time.Second
 )
 
-// QuotaError reports a request over the quota of its account, or one of which that is not
-// known.
-type QuotaError struct {
-	Account string
-	// RetryAfter is when it may come back.
-	RetryAfter time.Duration
-	// Unknown is true where control did not say in time.
-	Unknown bool
-}
-
-// Error returns a message with the account.
-func (e *QuotaError) Error() string {
-	if e.Unknown {
-		return fmt.Sprintf("control did not say whether account %s is within its quota", e.Account)
-	}
-	return fmt.Sprintf("account %s is over its quota", e.Account)
-}
-
-// QuotaRetryAfter returns when the request may come back.
-func (e *QuotaError) QuotaRetryAfter() time.Duration {
-	return e.RetryAfter
-}
-
-// QuotaUnknown reports whether control did not say in time.
-func (e *QuotaError) QuotaUnknown() bool {
-	return e.Unknown
-}
-
 // Quotas asks control whether requests are within the quotas of their accounts, in
 // batches. It is safe for concurrent use.
 type Quotas struct {
 	allocations *Allocations
-	entry       string
 	// accounts reports whether the document in force has accounts.
 	accounts func() bool
 	log      *logrus.Entry
@@ -78,7 +48,7 @@
 // NewQuotas returns the quotas of one entry. It calls control as the allocations do.
 func NewQuotas(a *Allocations, t quota.Tolerance, accounts func() bool, log *logrus.Entry) *Quotas {
 	return &Quotas{
-		allocations: a, entry: a.owner, accounts: accounts, log: log, metrics: new(expvar.Map).Init(),
+		allocations: a, accounts: accounts, log: log, metrics: new(expvar.Map).Init(),
 		stock: quota.NewStock(a.owner, t, clock.SinceBoot()), waiters: map[uint64]chan quota.Decision{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -89,7 +59,7 @@
 }
 
 // Take waits until a request is within the quota of its account. The error is a
-// *QuotaError, or that of the context.
+// *quota.RefusedError, or that of the context.
 func (q *Quotas) Take(ctx context.Context, c document.Caller, cost float64, priority int) error {
 	now := clock.SinceBoot()
 	q.mu.Lock()
@@ -146,7 +116,7 @@
 		q.metrics.Add("Admitted", 1)
 		return nil
 	}
-	return &QuotaError{Account: account, RetryAfter: d.RetryAfter, Unknown: d.Verdict == quota.Unknown}
+	return &quota.RefusedError{Account: account, RetryAfter: d.RetryAfter, Unknown: d.Verdict == quota.Unknown}
 }
 
 // Run claims quotas until the context ends.
--- a/document/check.go
+++ b/document/check.go
@@ -67,10 +67,11 @@
 	}
 	callerNames, keyHashes := map[string]string{}, map[string]string{}
 	for i, a := range d.Callers {
-		a.check(c, fmt.Sprintf("Callers[%d]", i), d)
-		c.checkUnique(callerNames, a.Name, fmt.Sprintf("Callers[%d].Name", i))
-		c.checkUnique(keyHashes, a.KeyHash, fmt.Sprintf("Callers[%d].KeyHash", i))
-		a.checkAccount(c, fmt.Sprintf("Callers[%d]", i), keyHashes)
+		path := fmt.Sprintf("Callers[%d]", i)
+		a.check(c, path, d)
+		c.checkUnique(callerNames, a.Name, path+".Name")
+		c.checkUnique(keyHashes, a.KeyHash, path+".KeyHash")
+		a.checkAccount(c, path, keyHashes)
 	}
 	if d.Level < accountsLevel && d.needsAccountsLevel() {
 		c.Add("Level", d.Level, fmt.Sprintf("%d or more, as several keys, quotas and priorities of callers and routes with keys need it", accountsLevel))
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -52,6 +52,11 @@
 	return max(l.Burst, l.PerSecond*minBurst.Seconds())
 }
 
+// fillTime returns the time in which some tokens are added.
+func (l Limit) fillTime(tokens float64) time.Duration {
+	return time.Duration(min(tokens/l.PerSecond, math.MaxInt32) * float64(time.Second))
+}
+
 // ahead returns the tokens that each entry may keep.
 func (l Limit) ahead(entries int) float64 {
 	return aheadFraction * l.size() / float64(max(entries, 1))
@@ -305,15 +310,21 @@
 // book returns when a refused request may come back: one after the other as the bucket
 // fills, behind those that were told a time before.
 func (b *bucket) book(now time.Duration, cost float64) time.Duration {
-	begin := now + b.emptyFor()
-	until := max(b.bookedUntil, begin)
+	until := nextReturn(now+b.emptyFor(), b.bookedUntil)
+	b.bookedUntil = until + b.limit.fillTime(cost)
+	return max(until-now, time.Millisecond)
+}
+
+// nextReturn returns when the next refused request may come back: once there are tokens,
+// and behind those that were told a time up to booked.
+func nextReturn(begin, booked time.Duration) time.Duration {
+	until := max(booked, begin)
 	if until-begin > maxReturnDelay {
 		// More return than there will be room for: they are spread once more over the
 		// same time.
 		until = begin + (until-begin)%maxReturnDelay
 	}
-	b.bookedUntil = until + b.fillTime(cost)
-	return max(until-now, time.Millisecond)
+	return until
 }
 
 // emptyFor returns the time until the balance is above zero.
@@ -321,13 +332,7 @@
 	if b.balance > 0 {
 		return 0
 	}
-	return b.fillTime(-b.balance) + time.Millisecond
-}
-
-// fillTime returns the time in which some tokens are added.
-func (b *bucket) fillTime(tokens float64) time.Duration {
-	seconds := tokens / b.limit.PerSecond
-	return time.Duration(min(seconds, math.MaxInt32) * float64(time.Second))
+	return b.limit.fillTime(-b.balance) + time.Millisecond
 }
 
 // prune forgets accounts without claims whose buckets are full by now.
@@ -349,6 +354,14 @@
 	return l.inTouch
 }
 
+// Use returns what was asked for an account.
+func (l *Ledger) Use(account string) Use {
+	if b := l.accounts[account]; b != nil {
+		return b.used
+	}
+	return Use{}
+}
+
 // Used returns what was asked for each account that is kept.
 func (l *Ledger) Used() map[string]Use {
 	out := map[string]Use{}
--- a/quota/stock.go
+++ b/quota/stock.go
@@ -141,12 +141,8 @@
 // book returns when a request may come back that this entry refuses without asking: one
 // after the other, at this entry's part of the rate.
 func (h *holding) book(now time.Duration, cost float64, entries int) time.Duration {
-	until := max(h.bookedUntil, h.emptyUntil)
-	if until-h.emptyUntil > maxReturnDelay {
-		until = h.emptyUntil + (until-h.emptyUntil)%maxReturnDelay
-	}
-	b := bucket{limit: h.limit}
-	h.bookedUntil = until + b.fillTime(cost*float64(max(entries, 1)))
+	until := nextReturn(h.emptyUntil, h.bookedUntil)
+	h.bookedUntil = until + h.limit.fillTime(cost*float64(max(entries, 1)))
 	return max(until-now, time.Millisecond)
 }
 
--- a/relay/account.go
+++ b/relay/account.go
@@ -5,9 +5,8 @@
 	"errors"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"ebonyreel/document"
+	"ebonyreel/quota"
 )
 
 // priorityRanks is the number of priorities of routes that are told apart among accounts
@@ -17,7 +16,7 @@
 // Quotas decides whether requests are within the quotas of their accounts.
 type Quotas interface {
 	// Take waits until a request is within the quota of its account. The error is a
-	// QuotaRefusal, or that of the context.
+	// *quota.RefusedError, or that of the context.
 	Take(ctx context.Context, c document.Caller, cost float64, priority int) error
 	// GiveBack returns what Take took for a request that did not run.
 	GiveBack(account string, cost float64)
@@ -94,14 +93,14 @@
 		cs.quotaTaken = cost
 		return true
 	}
-	var refusal QuotaRefusal
+	var refused *quota.RefusedError
 	switch {
-	case errors.As(err, &refusal):
+	case errors.As(err, &refused):
 		reason := OverQuota
-		if refusal.QuotaUnknown() {
+		if refused.Unknown {
 			reason = QuotaUnknown
 		}
-		r.refuse(cs, Refusal{Reason: reason, RetryAfter: refusal.QuotaRetryAfter()}, err)
+		r.refuse(cs, Refusal{Reason: reason, RetryAfter: refused.RetryAfter}, err)
 	case errors.Is(ctx.Err(), context.Canceled):
 		r.endCallerGone(cs, err)
 	default:
@@ -110,15 +109,6 @@
 	return false
 }
 
-// QuotaRefusal is the error of a request that is not within the quota of its account.
-type QuotaRefusal interface {
-	error
-	// QuotaRetryAfter returns when the request may come back.
-	QuotaRetryAfter() time.Duration
-	// QuotaUnknown reports whether it is only not known to be within the quota.
-	QuotaUnknown() bool
-}
-
 // returnQuota gives back what a call took that no endpoint has run.
 func (r *Relay) returnQuota(cs *callState) {
 	if cs.quotaTaken > 0 && !cs.mayHaveRun && cs.prefills == 0 {
@@ -126,11 +116,3 @@
 		cs.quotaTaken = 0
 	}
 }
-
-// accountFields returns the log fields of an account.
-func (cs *callState) accountFields() logrus.Fields {
-	if cs.account.Name == "" {
-		return nil
-	}
-	return logrus.Fields{"Account": cs.account.Name, "QuotaTaken": cs.quotaTaken}
-}
--- a/relay/account_test.go
+++ b/relay/account_test.go
@@ -15,6 +15,7 @@
 
 	"ebonyreel/document"
 	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/quota"
 )
 
 // accountDocument has two accounts, one of them with a quota and a priority, and a public
@@ -51,20 +52,11 @@
 	caller *recordingCaller
 }
 
-// scriptedRefusal refuses a request.
-type scriptedRefusal struct {
-	unknown bool
-}
-
-func (e *scriptedRefusal) Error() string                  { return "refused" }
-func (e *scriptedRefusal) QuotaRetryAfter() time.Duration { return 700 * time.Millisecond }
-func (e *scriptedRefusal) QuotaUnknown() bool             { return e.unknown }
-
 func (s *scriptedQuotas) Take(ctx context.Context, c document.Caller, cost float64, priority int) error {
 	_ = s.caller.write("take %g of %s, priority %d\n", cost, c.Name, priority)
 	switch s.decision {
 	case "over", "unknown":
-		return &scriptedRefusal{unknown: s.decision == "unknown"}
+		return &quota.RefusedError{Account: c.Name, RetryAfter: 700 * time.Millisecond, Unknown: s.decision == "unknown"}
 	case "revoked":
 		s.revoke()
 	case "silent":
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -299,11 +299,15 @@
 
 // logger returns a logger with the fields of a call. err may be nil.
 func (r *Relay) logger(cs *callState, err error) *logrus.Entry {
-	e := r.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"Request": logs.Truncate(cs.call.ID), "Route": cs.route.Name, "Serves": cs.pool.Name, "DocumentNumber": cs.documentNumber,
 		"Sent": cs.sent, "Unsent": cs.dialFailures,
 		"ElapsedMilliseconds": time.Since(cs.call.Arrived).Milliseconds(), "LastEvent": logs.Truncate(cs.lastEvent),
-	}).WithFields(cs.accountFields())
+	}
+	if cs.account.Name != "" {
+		fields["Account"], fields["QuotaTaken"] = cs.account.Name, cs.quotaTaken
+	}
+	e := r.log.WithFields(fields)
 	if err != nil {
 		e = e.WithError(err)
 	}
