--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,7 +25,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*deployment) bool{"popular-lookup": popularLookup, "large-bodies": largeBodies}
+	cases := map[string]func(*deployment) bool{"popular-lookup": popularLookup, "large-bodies": largeBodies, "joined-versions": joinedVersions}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
