Count requests beyond the first of a call, and what the retry budget denied

An entry now counts what reaches endpoints beyond the first request of a call, by cause, and how many entries share the budget; the record of a request says how often the budget denied another one.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -65,6 +65,9 @@
 	// Full is the number of endpoints that had no capacity for the request when
 	// they were asked.
 	Full int `json:",omitempty"`
+	// OverBudget is the number of further requests to endpoints that the retry budget did
+	// not allow.
+	OverBudget int `json:",omitempty"`
 	// Outcome is one of the outcome constants or a refusal code.
 	Outcome string
 	// Reason is a text for operators; it is empty for Completed.
--- a/relay/call_state.go
+++ b/relay/call_state.go
@@ -42,8 +42,10 @@
 	// mayHaveRun is true once an endpoint may have run the call.
 	mayHaveRun bool
 	// prefills is the number of engines that were asked to compute the prompt, and
+	// prefillAccepted is true once one of them may have begun.
+	prefills        int
+	prefillAccepted bool
 	// demandRecorded is true once the call counts as demand of its pool.
-	prefills       int
 	demandRecorded bool
 	// attempted are the names of the endpoints that the call was sent to.
 	attempted map[string]bool
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -9,6 +9,7 @@
 	"ebonyreel/clock"
 	"ebonyreel/decision"
 	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/transport"
 )
 
 const (
@@ -407,6 +408,7 @@
 	t := r.newAttempt(cs, e)
 	t.LastEvent = ""
 	h, err := r.engines.Prefill(ctx, cs.call, t)
+	r.recordPrefill(cs, err)
 	r.tracker.end(e, resultOf(ctx, err), time.Since(start), weight)
 	if err != nil {
 		r.logger(cs, err).WithField("Endpoint", e.GetName()).Info("prefill failed")
@@ -418,6 +420,22 @@
 	return h, nil
 }
 
+// recordPrefill records how a prefill ended. All but the first that an engine accepts are
+// extra requests.
+func (r *Relay) recordPrefill(cs *callState, err error) {
+	var dialErr *transport.DialError
+	var notRun *NotRunError
+	switch {
+	case errors.As(err, &dialErr):
+	case errors.As(err, &notRun):
+		r.metrics.extraSent(cs.pool.Name, causePrefillRejected)
+	case cs.prefillAccepted:
+		r.metrics.extraSent(cs.pool.Name, causePrefillRepeated)
+	default:
+		cs.prefillAccepted = true
+	}
+}
+
 func (r *Relay) queueOf(pool string) *queue {
 	q, _ := r.queues.LoadOrStore(pool, &queue{})
 	return q.(*queue)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -71,6 +71,9 @@
 	Late       expvar.Int
 	Retried    expvar.Int
 	OverBudget expvar.Int
+	// Extra is keyed by pool and cause: the requests that reached endpoints beyond the
+	// first of each call.
+	Extra labelCounter
 	// PrefillTokens counts the prompt tokens computed by prefill engines: Taken
 	// where a decode engine used the result, Wasted where none did.
 	PrefillTokens labelCounter
@@ -110,6 +113,18 @@
 	}
 }
 
+// The causes of requests beyond the first of a call.
+const (
+	causeSentAgain       = "SentAgain"
+	causePrefillRejected = "PrefillRejected"
+	causePrefillRepeated = "PrefillRepeated"
+)
+
+// extraSent counts a request beyond the first of a call.
+func (m *metrics) extraSent(pool, cause string) {
+	m.Extra.add(pool+" "+cause, 1)
+}
+
 // promptPrefilled counts a prompt that a prefill engine computed.
 func (m *metrics) promptPrefilled(tokens int, used bool) {
 	name := "Wasted"
@@ -133,6 +148,7 @@
 		"Requests": &m.Requests, "Answered": &m.Answered, "Refused": &m.Refused, "Late": &m.Late,
 		"First": &m.First, "Gap": &m.Gap, "Queue": &m.Queue, "Prefill": &m.Prefill,
 		"Retried": &m.Retried, "OverBudget": &m.OverBudget, "RetriesLeft": expvar.Func(r.retriesLeft),
+		"Extra": &m.Extra, "BudgetEntries": expvar.Func(func() any { return r.fleet.Entries() }),
 		"PrefillTokens": &m.PrefillTokens, "Reserved": &m.Reserved, "Resumed": &m.Resumed, "Accounts": &m.Accounts, "QuotaWait": &m.QuotaWait, "DecisionsDropped": r.decisions.Dropped,
 		"Waiting": expvar.Func(r.queueLengths), "InFlight": expvar.Func(func() any { return r.inFlight.Load() }),
 	} {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -251,6 +251,7 @@
 	ok := r.retryAccountOf(cs.pool.Name).withdraw(time.Now(), r.budget, r.fleet.Entries(), reason)
 	if !ok {
 		r.metrics.OverBudget.Add(1)
+		cs.record.Update(func(d *decision.Record) { d.OverBudget++ })
 	}
 	return ok
 }
@@ -438,7 +439,9 @@
 	if errors.As(err, &dialErr) {
 		return nil, err
 	}
-	cs.sent++
+	if cs.sent++; cs.sent > 1 {
+		r.metrics.extraSent(cs.pool.Name, causeSentAgain)
+	}
 	if err != nil {
 		cs.mayHaveRun = true
 		return nil, err
