Charge prefills that engines turn away to the retry budget

Cause: the first prefill of a call was free, and the budget was asked only before a second one. It is free only where an engine accepts it: one that is turned away counts. With the budget used up, each new call still sent one such prefill. The class of fault: a cost that is known only after the request is charged only to the request after it.

An entry now holds a part of a retry for each prefill in flight, by the rate at which prefills have been turned away lately, and counts a retry once one is. Where its share is used up the engine that decodes computes the prompt, and the request asks control for no prefill engine. A fifth of the share is left for prefills, so that failed requests do not use it up; the ratio that entries use is 0.9 in place of 0.7 for that.

--- a/relay/allocate.go
+++ b/relay/allocate.go
@@ -120,7 +120,8 @@
 func (r *Relay) allocate(ctx context.Context, cs *callState, onTimeUntil, abandonAt time.Time) (reservation, error) {
 	start, run := time.Now(), r.newRun(cs)
 	in := &controlv1.AcquireRequest{
-		Pool: cs.pool.Name, Run: run, Priority: int32(cs.route.Priority), Prefill: cs.prefills == 0,
+		Pool: cs.pool.Name, Run: run, Priority: int32(cs.route.Priority),
+		Prefill: cs.prefills == 0 && r.retryAccountOf(cs.pool.Name).canHold(time.Now(), r.budget, r.fleet.Entries()),
 		Account: cs.account.Name,
 	}
 	if cs.origin != nil {
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -19,12 +19,24 @@
 	// ratioFraction and slackFraction are the fractions of the budget that running
 	// entries use. The rest is reserved for entries that restart, as each of them
 	// starts with a share of the slack.
-	ratioFraction = 0.7
+	ratioFraction = 0.9
 	slackFraction = 0.5
-	// notRunFraction is the fraction of its share that an entry uses for requests that
-	// an endpoint turned away. The rest is left for requests that failed, which have
+	// heldFraction is the fraction of its share that an entry leaves for prefills at a pool
+	// of model engines, as they may be turned away. Without them a prompt is computed by
+	// the engine that decodes, which delays the streams there.
+	heldFraction = 0.2
+	// notRunFraction is the fraction of the rest that an entry uses for requests that
+	// an endpoint turned away. What is left is for requests that failed, which have
 	// cost more, and of which the next endpoint is more likely to make a success.
 	notRunFraction = 0.5
+	// riskMargin is the factor by which the rate of prefills that are turned away may rise
+	// before the next of them end. A held prefill counts as that rate, times the margin,
+	// of a retry.
+	riskMargin = 4
+	// priorRejected and priorPrefills are added to the prefills of the window, for the
+	// rate before much is known.
+	priorRejected = 0.4
+	priorPrefills = 10
 	// minEntries is the least number of entries among which the slack is divided,
 	// even while fewer are known.
 	minEntries = 4
@@ -43,6 +55,18 @@
 	retryNotRun
 )
 
+// holdResult is how a request ended for which a retry was held.
+type holdResult int
+
+const (
+	// holdUnused means that the request did not reach an endpoint.
+	holdUnused holdResult = iota
+	// holdAccepted means that an endpoint may have begun with it, so that it was no retry.
+	holdAccepted
+	// holdRejected means that an endpoint turned it away, so that it was a retry.
+	holdRejected
+)
+
 // retryAccount counts the requests and retries of one entry to a pool over the window
 // of the budget. In each window, the entry's retries are bounded by its own requests
 // there and its share of the slack, so that those of all entries are within the
@@ -53,6 +77,9 @@
 	// start is when the account was first used; slots are numbered from there.
 	start time.Time
 	slots [accountSlots + 1]accountSlot
+	// held is the number of prefills in flight that count as retries if they are turned
+	// away. It is not negative.
+	held int
 }
 
 // accountSlot holds the counts of one part of the time.
@@ -60,6 +87,10 @@
 	number   int64
 	requests int
 	retries  int
+	// prefills are those for which a retry was held, and rejected those of them that were
+	// turned away. These are among the retries.
+	prefills int
+	rejected int
 }
 
 // recordRequest counts one request.
@@ -72,25 +103,76 @@
 }
 
 // withdraw counts one retry if the budget allows it, and reports whether it does.
-// entries is the number of entries that share the budget.
-func (r *retryAccount) withdraw(now time.Time, b RetryBudget, entries int, reason retryReason) bool {
+// entries is the number of entries that share the budget, and prefills is true for a pool
+// of model engines.
+func (r *retryAccount) withdraw(now time.Time, b RetryBudget, entries int, reason retryReason, prefills bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	current := r.slot(now, b)
 	if current == nil {
 		return false
 	}
-	allowed, retries := r.count(current.number, b, entries)
+	w := r.count(current.number)
+	allowed := w.allowed(b, entries)
+	if prefills {
+		allowed *= 1 - heldFraction
+	}
 	if reason == retryNotRun {
 		allowed *= notRunFraction
 	}
-	if float64(retries+1) > allowed {
+	if float64(w.retries+1)+float64(r.held)*w.rejectionRisk() > allowed {
 		return false
 	}
 	current.retries++
 	return true
 }
 
+// hold holds a retry for a prefill until settle, if the budget allows it, and reports
+// whether it does.
+func (r *retryAccount) hold(now time.Time, b RetryBudget, entries int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.allowsHold(now, b, entries) {
+		return false
+	}
+	r.held++
+	return true
+}
+
+// settle ends a hold.
+func (r *retryAccount) settle(now time.Time, b RetryBudget, result holdResult) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held--
+	s := r.slot(now, b)
+	if s == nil || result == holdUnused {
+		return
+	}
+	s.prefills++
+	if result == holdRejected {
+		s.rejected++
+		s.retries++
+	}
+}
+
+// canHold reports whether hold would hold a retry now.
+func (r *retryAccount) canHold(now time.Time, b RetryBudget, entries int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.allowsHold(now, b, entries)
+}
+
+// allowsHold reports whether the share has room for one more hold. A budget without a
+// window bounds none. r.mu must be held.
+func (r *retryAccount) allowsHold(now time.Time, b RetryBudget, entries int) bool {
+	current := r.slot(now, b)
+	if current == nil {
+		return true
+	}
+	w := r.count(current.number)
+	return float64(w.retries)+float64(r.held+1)*w.rejectionRisk() <= w.allowed(b, entries)
+}
+
 // balance returns the number of retries that are left.
 func (r *retryAccount) balance(now time.Time, b RetryBudget, entries int) float64 {
 	r.mu.Lock()
@@ -99,25 +181,39 @@
 	if current == nil {
 		return 0
 	}
-	allowed, retries := r.count(current.number, b, entries)
-	return allowed - float64(retries)
+	w := r.count(current.number)
+	return w.allowed(b, entries) - float64(w.retries)
 }
 
-// count returns the retries that are allowed in the window that ends with a slot, and
-// those that were sent. Both err on the side of fewer retries: the slot that the
-// window covers in part counts with its retries and without its requests.
-func (r *retryAccount) count(current int64, b RetryBudget, entries int) (float64, int) {
-	requests, retries := 0, 0
+// count returns the sums over the window that ends with a slot. They err on the side of
+// fewer retries: the slot that the window covers in part counts with its retries and
+// without its requests.
+func (r *retryAccount) count(current int64) accountSlot {
+	w := accountSlot{number: current}
 	for _, s := range r.slots {
-		if age := current - s.number; age <= accountSlots {
-			retries += s.retries
-			if age < accountSlots {
-				requests += s.requests
-			}
+		age := current - s.number
+		if age > accountSlots {
+			continue
+		}
+		w.retries += s.retries
+		w.prefills += s.prefills
+		w.rejected += s.rejected
+		if age < accountSlots {
+			w.requests += s.requests
 		}
 	}
+	return w
+}
+
+// allowed returns the retries that an entry may send in a window with these requests.
+func (s accountSlot) allowed(b RetryBudget, entries int) float64 {
 	share := b.Slack * slackFraction / float64(max(entries, minEntries))
-	return share + b.Ratio*ratioFraction*float64(requests), retries
+	return share + b.Ratio*ratioFraction*float64(s.requests)
+}
+
+// rejectionRisk returns the retry, from 0 to 1, that a held prefill counts as.
+func (s accountSlot) rejectionRisk() float64 {
+	return min(riskMargin*(float64(s.rejected)+priorRejected)/(float64(s.prefills)+priorPrefills), 1)
 }
 
 // slot returns the slot of a time, or nil for a budget without a window.
--- a/relay/budget_test.go
+++ b/relay/budget_test.go
@@ -80,7 +80,7 @@
 			continue
 		}
 		asked++
-		if !a.withdraw(s.now, s.budget, len(s.accounts), reason) {
+		if !a.withdraw(s.now, s.budget, len(s.accounts), reason, false) {
 			denied++
 			continue
 		}
--- a/relay/errors.go
+++ b/relay/errors.go
@@ -41,6 +41,17 @@
 	return fmt.Sprintf("endpoint did not run the request, status %d", e.Status)
 }
 
+// RetryBudgetError reports a pool to which the retry budget allows no further request
+// that may be turned away.
+type RetryBudgetError struct {
+	Pool string
+}
+
+// Error returns a message with the name of the pool.
+func (e *RetryBudgetError) Error() string {
+	return "the retry budget of " + e.Pool + " is used up"
+}
+
 // QueueTimeoutError reports a request for which no engine had memory in time.
 type QueueTimeoutError struct {
 	// Waited is how long the request was queued.
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -352,33 +352,24 @@
 	return r.engines.Reserve(ctx, endpointOf(e), tokens, time.Duration(cs.pool.Engine.HoldLives))
 }
 
-// usesPrefillEngine reports whether a prefill engine computes the prompt of the
-// next attempt. The first prefill of a call is free. Each further one is charged to
-// the retry budget. It also adds an endpoint to the call, and the attempts of the
-// route bound these: where an endpoint may have run the call, a prefill is allowed
-// only once that endpoint is gone.
+// usesPrefillEngine reports whether a prefill engine computes the prompt of the next
+// attempt. It adds an endpoint to the call, and the attempts of the route bound these:
+// where an endpoint may have run the call, a prefill is allowed only once that endpoint
+// is gone.
 func (r *Relay) usesPrefillEngine(ctx context.Context, cs *callState) bool {
-	if cs.prefills == 0 {
+	if cs.prefills == 0 || !cs.mayHaveRun {
 		return true
 	}
-	if cs.mayHaveRun {
-		ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
-		defer cancel()
-		if r.engines.Alive(ctx, cs.endpoint) {
-			return false
-		}
-	}
-	return r.chargeRetry(cs, retryFailed)
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	return !r.engines.Alive(ctx, cs.endpoint)
 }
 
 // prefill has a prefill engine compute the prompt for the engine of a reservation, first the
 // suggested one. The zero Handle means that none did, so that the decode engine computes it.
 func (r *Relay) prefill(ctx context.Context, cs *callState, s reservation) Handle {
 	asked, suggested := map[string]bool{}, s.prefillEngine
-	for i := range maxPrefillAttempts {
-		if i > 0 && !r.chargeRetry(cs, retryFailed) {
-			break
-		}
+	for range maxPrefillAttempts {
 		h, err := r.tryPrefill(ctx, cs, asked, suggested, s.endpoint.GetVersion())
 		suggested = ""
 		var notRun *NotRunError
@@ -397,8 +388,15 @@
 	c := criteria{
 		now: time.Now(), domain: r.domain, role: controlv1.Role_ROLE_PREFILL, weight: weight, attempted: asked, suggested: suggested, entries: r.fleet.Entries,
 	}
+	repeated := cs.prefillAccepted
+	if !r.chargePrefill(cs) {
+		return Handle{}, &RetryBudgetError{Pool: cs.pool.Name}
+	}
 	e, inFlight := r.tracker.pick(members, c)
 	if e == nil {
+		if !repeated {
+			r.settlePrefill(cs, holdUnused)
+		}
 		return Handle{}, r.noEndpointError(cs.pool.Name, members, c)
 	}
 	asked[e.GetName()] = true
@@ -408,7 +406,7 @@
 	t := r.newAttempt(cs, e)
 	t.LastEvent = ""
 	h, err := r.engines.Prefill(ctx, cs.call, t)
-	r.recordPrefill(cs, err)
+	r.endPrefillAttempt(cs, err, repeated)
 	r.tracker.end(e, resultOf(ctx, err), time.Since(start), weight)
 	if err != nil {
 		r.logger(cs, err).WithField("Endpoint", e.GetName()).Info("prefill failed")
@@ -420,20 +418,40 @@
 	return h, nil
 }
 
-// recordPrefill records how a prefill ended. All but the first that an engine accepts are
-// extra requests.
-func (r *Relay) recordPrefill(cs *callState, err error) {
+// chargePrefill charges the next prefill of a call to the retry budget, and reports whether
+// the budget allows it. All prefills but the first that an engine accepts are retries. Until
+// one is accepted, the charge is held.
+func (r *Relay) chargePrefill(cs *callState) bool {
+	if cs.prefillAccepted {
+		return r.chargeRetry(cs, retryFailed)
+	}
+	return r.holdRetry(cs)
+}
+
+// endPrefillAttempt counts a prefill that was a retry, and settles the charge that was held
+// for one that may have been. repeated is true where an engine had accepted one before.
+func (r *Relay) endPrefillAttempt(cs *callState, err error, repeated bool) {
 	var dialErr *transport.DialError
 	var notRun *NotRunError
+	result := holdAccepted
 	switch {
 	case errors.As(err, &dialErr):
+		result = holdUnused
 	case errors.As(err, &notRun):
+		result = holdRejected
 		r.metrics.extraSent(cs.pool.Name, causePrefillRejected)
-	case cs.prefillAccepted:
+	case repeated:
 		r.metrics.extraSent(cs.pool.Name, causePrefillRepeated)
 	default:
 		cs.prefillAccepted = true
 	}
+	if !repeated {
+		r.settlePrefill(cs, result)
+	}
+}
+
+func (r *Relay) settlePrefill(cs *callState, result holdResult) {
+	r.retryAccountOf(cs.pool.Name).settle(time.Now(), r.budget, result)
 }
 
 func (r *Relay) queueOf(pool string) *queue {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -248,14 +248,28 @@
 // chargeRetry charges one retry to the budget of the call's pool, and reports
 // whether the budget allows it.
 func (r *Relay) chargeRetry(cs *callState, reason retryReason) bool {
-	ok := r.retryAccountOf(cs.pool.Name).withdraw(time.Now(), r.budget, r.fleet.Entries(), reason)
+	ok := r.retryAccountOf(cs.pool.Name).withdraw(time.Now(), r.budget, r.fleet.Entries(), reason, cs.reservesMemory())
 	if !ok {
-		r.metrics.OverBudget.Add(1)
-		cs.record.Update(func(d *decision.Record) { d.OverBudget++ })
+		r.recordOverBudget(cs)
 	}
 	return ok
 }
 
+// holdRetry holds one retry of the budget of the call's pool for a request that may be
+// turned away, and reports whether the budget allows it.
+func (r *Relay) holdRetry(cs *callState) bool {
+	ok := r.retryAccountOf(cs.pool.Name).hold(time.Now(), r.budget, r.fleet.Entries())
+	if !ok {
+		r.recordOverBudget(cs)
+	}
+	return ok
+}
+
+func (r *Relay) recordOverBudget(cs *callState) {
+	r.metrics.OverBudget.Add(1)
+	cs.record.Update(func(d *decision.Record) { d.OverBudget++ })
+}
+
 // endFailed ends a call that is not retried.
 func (r *Relay) endFailed(ctx context.Context, cs *callState, err error) {
 	r.cancelRetry(cs)
