Keep the ratio of retries that entries use at 0.7

Callers that move between entries, and entries that restart, count the same time twice: an entry that has just lost its callers has used the requests of its whole window. By the worst case of half of the requests moved, 0.9 would exceed the budget of a busy pool. The part left for prefills is a tenth now, as a held prefill rarely counts as much as a retry. By calculation; TestRetryBudget and TestRejectedPrefillsWithinBudget pass with both.

--- a/relay/budget.go
+++ b/relay/budget.go
@@ -19,12 +19,12 @@
 	// ratioFraction and slackFraction are the fractions of the budget that running
 	// entries use. The rest is reserved for entries that restart, as each of them
 	// starts with a share of the slack.
-	ratioFraction = 0.9
+	ratioFraction = 0.7
 	slackFraction = 0.5
 	// heldFraction is the fraction of its share that an entry leaves for prefills at a pool
 	// of model engines, as they may be turned away. Without them a prompt is computed by
 	// the engine that decodes, which delays the streams there.
-	heldFraction = 0.2
+	heldFraction = 0.1
 	// notRunFraction is the fraction of the rest that an entry uses for requests that
 	// an endpoint turned away. What is left is for requests that failed, which have
 	// cost more, and of which the next endpoint is more likely to make a success.
@@ -35,7 +35,7 @@
 	riskMargin = 4
 	// priorRejected and priorPrefills are added to the prefills of the window, for the
 	// rate before much is known.
-	priorRejected = 0.4
+	priorRejected = 0.3
 	priorPrefills = 10
 	// minEntries is the least number of entries among which the slack is divided,
 	// even while fewer are known.
