Let the share of a starting entry in the retry budget grow over the window

Cause: retries are counted in memory, and half of the slack is kept for entries that restart. That covers one restart of each within the window, as every lifetime began with a whole share. The class of fault: a bound over time that is kept by a process and forgotten with it.

The share now grows from nothing over the first window of a process. All lifetimes within a window then have one share at most, and the lifetime before them another, which is what is kept for them. A pool of many requests has its first retry within a second as before, by the ratio.

TestRetryBudget/restarts_in_series, nine restarts of all entries, found "within the budget: false" without the growth, and passes.

--- a/cmd/entry/platform.go
+++ b/cmd/entry/platform.go
@@ -20,7 +20,9 @@
 // platformFrontEnd returns the front end for the protocol Platform.
 func (p components) platformFrontEnd(ctx context.Context, stop func()) (frontEnd, error) {
 	s := p.settings
-	budget := relay.RetryBudget{Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack, Window: time.Duration(s.RetryBudget.Window)}
+	budget := relay.RetryBudget{
+		Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack, Window: time.Duration(s.RetryBudget.Window), Since: time.Now(),
+	}
 	client := platform.NewEndpointClient()
 	r := relay.New(p.view, client, client, controls.NewStrikes(p.client, p.view), s.FailureDomain, budget, p.resources.decisions, p.log)
 	client.SetObserver(r)
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -13,12 +13,14 @@
 	// Slack is a number of retries.
 	Slack  float64
 	Window time.Duration
+	// Since is when this process began to share the budget; zero for long ago.
+	Since time.Time
 }
 
 const (
 	// ratioFraction and slackFraction are the fractions of the budget that running
-	// entries use. The rest is reserved for entries that restart, as each of them
-	// starts with a share of the slack.
+	// entries use. The rest of the slack is reserved for entries that restart, as they
+	// forget the retries before.
 	ratioFraction = 0.7
 	slackFraction = 0.5
 	// heldFraction is the fraction of its share that an entry leaves for prefills at a pool
@@ -113,7 +115,7 @@
 		return false
 	}
 	w := r.count(current.number)
-	allowed := w.allowed(b, entries)
+	allowed := w.allowed(now, b, entries)
 	if prefills {
 		allowed *= 1 - heldFraction
 	}
@@ -170,7 +172,7 @@
 		return true
 	}
 	w := r.count(current.number)
-	return float64(w.retries)+float64(r.held+1)*w.rejectionRisk() <= w.allowed(b, entries)
+	return float64(w.retries)+float64(r.held+1)*w.rejectionRisk() <= w.allowed(now, b, entries)
 }
 
 // balance returns the number of retries that are left.
@@ -182,7 +184,7 @@
 		return 0
 	}
 	w := r.count(current.number)
-	return w.allowed(b, entries) - float64(w.retries)
+	return w.allowed(now, b, entries) - float64(w.retries)
 }
 
 // count returns the sums over the window that ends with a slot. They err on the side of
@@ -205,9 +207,15 @@
 	return w
 }
 
-// allowed returns the retries that an entry may send in a window with these requests.
-func (s accountSlot) allowed(b RetryBudget, entries int) float64 {
+// allowed returns the retries that an entry may send in a window with these requests. Its
+// share of the slack grows over the first window of the process. However often it restarts,
+// the shares of its lifetimes within a window are one share at most, besides that of the
+// lifetime before.
+func (s accountSlot) allowed(now time.Time, b RetryBudget, entries int) float64 {
 	share := b.Slack * slackFraction / float64(max(entries, minEntries))
+	if !b.Since.IsZero() {
+		share *= min(float64(now.Sub(b.Since))/float64(b.Window), 1)
+	}
 	return share + b.Ratio*ratioFraction*float64(s.requests)
 }
 
--- a/relay/budget_test.go
+++ b/relay/budget_test.go
@@ -25,9 +25,9 @@
 				d.ScanArgs(t, "entries", &entries)
 				d.ScanArgs(t, "slack", &s.budget.Slack)
 				s.budget.Ratio, s.budget.Window = 0.2, 10*time.Second
-				s.accounts = make([]*retryAccount, entries)
+				s.accounts = make([]*budgetEntry, entries)
 				for i := range s.accounts {
-					s.accounts[i] = &retryAccount{}
+					s.accounts[i] = &budgetEntry{}
 				}
 				return ""
 			case "load":
@@ -36,7 +36,7 @@
 				var entries int
 				d.ScanArgs(t, "entries", &entries)
 				for i := range entries {
-					s.accounts[i] = &retryAccount{}
+					s.accounts[i] = &budgetEntry{since: s.now}
 				}
 				return ""
 			case "check":
@@ -48,12 +48,18 @@
 	})
 }
 
+// budgetEntry is the account of one entry that has shared the budget since some time.
+type budgetEntry struct {
+	retryAccount
+	since time.Time
+}
+
 // budgetSimulation is the retries of a fleet on a simulated clock.
 type budgetSimulation struct {
 	random   *rand.Rand
 	now      time.Time
 	budget   RetryBudget
-	accounts []*retryAccount
+	accounts []*budgetEntry
 	// requests and retries are when they were sent, in order.
 	requests, retries []time.Time
 }
@@ -74,13 +80,15 @@
 	for end := s.now.Add(time.Duration(seconds * float64(time.Second))); s.now.Before(end); {
 		s.now = s.now.Add(time.Duration(s.random.ExpFloat64() / rate * float64(time.Second)))
 		a := s.accounts[first+s.random.IntN(len(s.accounts)-first)]
-		a.recordRequest(s.now, s.budget)
+		budget := s.budget
+		budget.Since = a.since
+		a.recordRequest(s.now, budget)
 		s.requests = append(s.requests, s.now)
 		if s.random.Float64() >= failing {
 			continue
 		}
 		asked++
-		if !a.withdraw(s.now, s.budget, len(s.accounts), reason, false) {
+		if !a.withdraw(s.now, budget, len(s.accounts), reason, false) {
 			denied++
 			continue
 		}
