Divide the slack of the retry budget among the most entries of the window

Where an entry knows fewer entries than there are, as after their leases expired, or where many are gone at once, it took a larger share of the slack, though the window still had the retries of the others: with two known of 31, thirteen times as many together.

An entry now divides the slack by the largest number of entries that it has known within the window.

TestRetryBudget/entries_unknown found "within the budget: false" before, and passes.

--- a/relay/budget.go
+++ b/relay/budget.go
@@ -86,7 +86,10 @@
 
 // accountSlot holds the counts of one part of the time.
 type accountSlot struct {
-	number   int64
+	number int64
+	// entries is the largest number of entries that was known. The slack is divided among
+	// the most of the window, as those that are gone have used their shares there.
+	entries  int
 	requests int
 	retries  int
 	// prefills are those for which a retry was held, and rejected those of them that were
@@ -96,10 +99,10 @@
 }
 
 // recordRequest counts one request.
-func (r *retryAccount) recordRequest(now time.Time, b RetryBudget) {
+func (r *retryAccount) recordRequest(now time.Time, b RetryBudget, entries int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s := r.slot(now, b); s != nil {
+	if s := r.slot(now, b, entries); s != nil {
 		s.requests++
 	}
 }
@@ -110,12 +113,12 @@
 func (r *retryAccount) withdraw(now time.Time, b RetryBudget, entries int, reason retryReason, prefills bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	current := r.slot(now, b)
+	current := r.slot(now, b, entries)
 	if current == nil {
 		return false
 	}
 	w := r.count(current.number)
-	allowed := w.allowed(now, b, entries)
+	allowed := w.allowed(now, b)
 	if prefills {
 		allowed *= 1 - heldFraction
 	}
@@ -142,11 +145,11 @@
 }
 
 // settle ends a hold.
-func (r *retryAccount) settle(now time.Time, b RetryBudget, result holdResult) {
+func (r *retryAccount) settle(now time.Time, b RetryBudget, entries int, result holdResult) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.held--
-	s := r.slot(now, b)
+	s := r.slot(now, b, entries)
 	if s == nil || result == holdUnused {
 		return
 	}
@@ -167,24 +170,24 @@
 // allowsHold reports whether the share has room for one more hold. A budget without a
 // window bounds none. r.mu must be held.
 func (r *retryAccount) allowsHold(now time.Time, b RetryBudget, entries int) bool {
-	current := r.slot(now, b)
+	current := r.slot(now, b, entries)
 	if current == nil {
 		return true
 	}
 	w := r.count(current.number)
-	return float64(w.retries)+float64(r.held+1)*w.rejectionRisk() <= w.allowed(now, b, entries)
+	return float64(w.retries)+float64(r.held+1)*w.rejectionRisk() <= w.allowed(now, b)
 }
 
 // balance returns the number of retries that are left.
 func (r *retryAccount) balance(now time.Time, b RetryBudget, entries int) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	current := r.slot(now, b)
+	current := r.slot(now, b, entries)
 	if current == nil {
 		return 0
 	}
 	w := r.count(current.number)
-	return w.allowed(now, b, entries) - float64(w.retries)
+	return w.allowed(now, b) - float64(w.retries)
 }
 
 // count returns the sums over the window that ends with a slot. They err on the side of
@@ -200,6 +203,7 @@
 		w.retries += s.retries
 		w.prefills += s.prefills
 		w.rejected += s.rejected
+		w.entries = max(w.entries, s.entries)
 		if age < accountSlots {
 			w.requests += s.requests
 		}
@@ -211,8 +215,8 @@
 // share of the slack grows over the first window of the process. However often it restarts,
 // the shares of its lifetimes within a window are one share at most, besides that of the
 // lifetime before.
-func (s accountSlot) allowed(now time.Time, b RetryBudget, entries int) float64 {
-	share := b.Slack * slackFraction / float64(max(entries, minEntries))
+func (s accountSlot) allowed(now time.Time, b RetryBudget) float64 {
+	share := b.Slack * slackFraction / float64(max(s.entries, minEntries))
 	if !b.Since.IsZero() {
 		share *= min(float64(now.Sub(b.Since))/float64(b.Window), 1)
 	}
@@ -224,8 +228,9 @@
 	return min(riskMargin*(float64(s.rejected)+priorRejected)/(float64(s.prefills)+priorPrefills), 1)
 }
 
-// slot returns the slot of a time, or nil for a budget without a window.
-func (r *retryAccount) slot(now time.Time, b RetryBudget) *accountSlot {
+// slot returns the slot of a time, at which some entries are known, or nil for a budget
+// without a window.
+func (r *retryAccount) slot(now time.Time, b RetryBudget, entries int) *accountSlot {
 	length := b.Window / accountSlots
 	if length <= 0 {
 		return nil
@@ -238,5 +243,6 @@
 	if s.number != number {
 		*s = accountSlot{number: number}
 	}
+	s.entries = max(s.entries, entries)
 	return s
 }
--- a/relay/budget_test.go
+++ b/relay/budget_test.go
@@ -25,7 +25,7 @@
 				d.ScanArgs(t, "entries", &entries)
 				d.ScanArgs(t, "slack", &s.budget.Slack)
 				s.budget.Ratio, s.budget.Window = 0.2, 10*time.Second
-				s.accounts = make([]*budgetEntry, entries)
+				s.accounts, s.known = make([]*budgetEntry, entries), entries
 				for i := range s.accounts {
 					s.accounts[i] = &budgetEntry{}
 				}
@@ -39,6 +39,9 @@
 					s.accounts[i] = &budgetEntry{since: s.now}
 				}
 				return ""
+			case "known":
+				d.ScanArgs(t, "entries", &s.known)
+				return ""
 			case "check":
 				return s.check()
 			}
@@ -60,6 +63,8 @@
 	now      time.Time
 	budget   RetryBudget
 	accounts []*budgetEntry
+	// known is the number of entries that each of them knows.
+	known int
 	// requests and retries are when they were sent, in order.
 	requests, retries []time.Time
 }
@@ -82,13 +87,13 @@
 		a := s.accounts[first+s.random.IntN(len(s.accounts)-first)]
 		budget := s.budget
 		budget.Since = a.since
-		a.recordRequest(s.now, budget)
+		a.recordRequest(s.now, budget, s.known)
 		s.requests = append(s.requests, s.now)
 		if s.random.Float64() >= failing {
 			continue
 		}
 		asked++
-		if !a.withdraw(s.now, budget, len(s.accounts), reason, false) {
+		if !a.withdraw(s.now, budget, s.known, reason, false) {
 			denied++
 			continue
 		}
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -451,7 +451,7 @@
 }
 
 func (r *Relay) settlePrefill(cs *callState, result holdResult) {
-	r.retryAccountOf(cs.pool.Name).settle(time.Now(), r.budget, result)
+	r.retryAccountOf(cs.pool.Name).settle(time.Now(), r.budget, r.fleet.Entries(), result)
 }
 
 func (r *Relay) queueOf(pool string) *queue {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -171,7 +171,7 @@
 	cs.pool, _ = d.Pool(pool)
 	cs.firstArrived = c.Arrived.Add(-r.retryDetector.sinceFirstArrival(cs.route.Name, c.Timeout))
 	r.recordCall(cs)
-	r.retryAccountOf(cs.pool.Name).recordRequest(time.Now(), r.budget)
+	r.retryAccountOf(cs.pool.Name).recordRequest(time.Now(), r.budget, r.fleet.Entries())
 	if originErr != nil {
 		r.endFailed(ctx, cs, originErr)
 		return
