Count prefills without an answer as retries

Cause: a prefill whose connection broke was taken for accepted, and so for the free one. Engines that reset connections accept nothing, and the request that follows is the second to arrive.

Such a prefill now counts as a retry, and a further one too, as only the engine knows. A failure with a status shows that the engine had accepted it.

TestRejectedPrefillsWithinBudget/connections_reset found "within the budget: false" before, and passes.

--- a/relay/budget.go
+++ b/relay/budget.go
@@ -31,14 +31,14 @@
 	// an endpoint turned away. What is left is for requests that failed, which have
 	// cost more, and of which the next endpoint is more likely to make a success.
 	notRunFraction = 0.5
-	// riskMargin is the factor by which the rate of prefills that are turned away may rise
+	// riskMargin is the factor by which the rate of prefills that are not accepted may rise
 	// before the next of them end. A held prefill counts as that rate, times the margin,
 	// of a retry.
 	riskMargin = 4
-	// priorRejected and priorPrefills are added to the prefills of the window, for the
+	// priorUnaccepted and priorPrefills are added to the prefills of the window, for the
 	// rate before much is known.
-	priorRejected = 0.3
-	priorPrefills = 10
+	priorUnaccepted = 0.3
+	priorPrefills   = 10
 	// minEntries is the least number of entries among which the slack is divided,
 	// even while fewer are known.
 	minEntries = 4
@@ -63,10 +63,11 @@
 const (
 	// holdUnused means that the request did not reach an endpoint.
 	holdUnused holdResult = iota
-	// holdAccepted means that an endpoint may have begun with it, so that it was no retry.
+	// holdAccepted means that an endpoint accepted it, so that it was no retry.
 	holdAccepted
-	// holdRejected means that an endpoint turned it away, so that it was a retry.
-	holdRejected
+	// holdUnaccepted means that an endpoint turned it away or may have, so that it counts
+	// as a retry.
+	holdUnaccepted
 )
 
 // retryAccount counts the requests and retries of one entry to a pool over the window
@@ -79,8 +80,8 @@
 	// start is when the account was first used; slots are numbered from there.
 	start time.Time
 	slots [accountSlots + 1]accountSlot
-	// held is the number of prefills in flight that count as retries if they are turned
-	// away. It is not negative.
+	// held is the number of prefills in flight that count as retries unless they are
+	// accepted. It is not negative.
 	held int
 }
 
@@ -92,10 +93,10 @@
 	entries  int
 	requests int
 	retries  int
-	// prefills are those for which a retry was held, and rejected those of them that were
-	// turned away. These are among the retries.
-	prefills int
-	rejected int
+	// prefills are those for which a retry was held, and unaccepted those of them that
+	// counted as one. These are among the retries.
+	prefills   int
+	unaccepted int
 }
 
 // recordRequest counts one request.
@@ -125,7 +126,7 @@
 	if reason == retryNotRun {
 		allowed *= notRunFraction
 	}
-	if float64(w.retries+1)+float64(r.held)*w.rejectionRisk() > allowed {
+	if float64(w.retries+1)+float64(r.held)*w.holdRisk() > allowed {
 		return false
 	}
 	current.retries++
@@ -154,8 +155,8 @@
 		return
 	}
 	s.prefills++
-	if result == holdRejected {
-		s.rejected++
+	if result == holdUnaccepted {
+		s.unaccepted++
 		s.retries++
 	}
 }
@@ -175,7 +176,7 @@
 		return true
 	}
 	w := r.count(current.number)
-	return float64(w.retries)+float64(r.held+1)*w.rejectionRisk() <= w.allowed(now, b)
+	return float64(w.retries)+float64(r.held+1)*w.holdRisk() <= w.allowed(now, b)
 }
 
 // balance returns the number of retries that are left.
@@ -202,7 +203,7 @@
 		}
 		w.retries += s.retries
 		w.prefills += s.prefills
-		w.rejected += s.rejected
+		w.unaccepted += s.unaccepted
 		w.entries = max(w.entries, s.entries)
 		if age < accountSlots {
 			w.requests += s.requests
@@ -223,9 +224,9 @@
 	return share + b.Ratio*ratioFraction*float64(s.requests)
 }
 
-// rejectionRisk returns the retry, from 0 to 1, that a held prefill counts as.
-func (s accountSlot) rejectionRisk() float64 {
-	return min(riskMargin*(float64(s.rejected)+priorRejected)/(float64(s.prefills)+priorPrefills), 1)
+// holdRisk returns the retry, from 0 to 1, that a held prefill counts as.
+func (s accountSlot) holdRisk() float64 {
+	return min(riskMargin*(float64(s.unaccepted)+priorUnaccepted)/(float64(s.prefills)+priorPrefills), 1)
 }
 
 // slot returns the slot of a time, at which some entries are known, or nil for a budget
--- a/relay/call_state.go
+++ b/relay/call_state.go
@@ -42,7 +42,7 @@
 	// mayHaveRun is true once an endpoint may have run the call.
 	mayHaveRun bool
 	// prefills is the number of engines that were asked to compute the prompt, and
-	// prefillAccepted is true once one of them may have begun.
+	// prefillAccepted is true once one of them may have accepted it.
 	prefills        int
 	prefillAccepted bool
 	// demandRecorded is true once the call counts as demand of its pool.
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -406,7 +406,7 @@
 	t := r.newAttempt(cs, e)
 	t.LastEvent = ""
 	h, err := r.engines.Prefill(ctx, cs.call, t)
-	r.endPrefillAttempt(cs, err, repeated)
+	r.endPrefillAttempt(ctx, cs, err, repeated)
 	r.tracker.end(e, resultOf(ctx, err), time.Since(start), weight)
 	if err != nil {
 		r.logger(cs, err).WithField("Endpoint", e.GetName()).Info("prefill failed")
@@ -429,23 +429,32 @@
 }
 
 // endPrefillAttempt counts a prefill that was a retry, and settles the charge that was held
-// for one that may have been. repeated is true where an engine had accepted one before.
-func (r *Relay) endPrefillAttempt(cs *callState, err error, repeated bool) {
+// for one that may have been. repeated is true where an engine had accepted one before. A
+// prefill without an answer counts as not accepted, and the next one as repeated, as only
+// the engine knows.
+func (r *Relay) endPrefillAttempt(ctx context.Context, cs *callState, err error, repeated bool) {
+	result, cause := holdUnaccepted, causePrefillUnanswered
 	var dialErr *transport.DialError
 	var notRun *NotRunError
-	result := holdAccepted
+	var status *StatusError
 	switch {
 	case errors.As(err, &dialErr):
-		result = holdUnused
+		result, cause = holdUnused, ""
 	case errors.As(err, &notRun):
-		result = holdRejected
-		r.metrics.extraSent(cs.pool.Name, causePrefillRejected)
+		cause = causePrefillRejected
 	case repeated:
-		r.metrics.extraSent(cs.pool.Name, causePrefillRepeated)
-	default:
-		cs.prefillAccepted = true
+		cause = causePrefillRepeated
+	case err == nil, errors.As(err, &status):
+		result, cause = holdAccepted, ""
+	case ctx.Err() != nil:
+		// No further request of the call follows.
+		result, cause = holdUnused, ""
+	}
+	if cause != "" {
+		r.metrics.extraSent(cs.pool.Name, cause)
 	}
 	if !repeated {
+		cs.prefillAccepted = dialErr == nil && notRun == nil
 		r.settlePrefill(cs, result)
 	}
 }
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -115,9 +115,10 @@
 
 // The causes of requests beyond the first of a call.
 const (
-	causeSentAgain       = "SentAgain"
-	causePrefillRejected = "PrefillRejected"
-	causePrefillRepeated = "PrefillRepeated"
+	causeSentAgain         = "SentAgain"
+	causePrefillRejected   = "PrefillRejected"
+	causePrefillUnanswered = "PrefillUnanswered"
+	causePrefillRepeated   = "PrefillRepeated"
 )
 
 // extraSent counts a request beyond the first of a call.
--- a/relay/prefill_budget_test.go
+++ b/relay/prefill_budget_test.go
@@ -34,13 +34,14 @@
 
 func (f *sizedFleet) Entries() int { return f.entries }
 
-// rejectingEngines are model engines that turn a share of the prompts away, and fail a
-// share of the requests to decode. They record when requests arrive.
+// rejectingEngines are model engines that turn a share of the prompts away, reset a share
+// of the connections without accepting the prompt, and fail a share of the requests to
+// decode. They record when requests arrive.
 type rejectingEngines struct {
 	fakeEngines
-	mu                 sync.Mutex
-	random             *rand.Rand
-	rejecting, failing float64
+	mu                            sync.Mutex
+	random                        *rand.Rand
+	rejecting, resetting, failing float64
 	// arrived holds the requests that have arrived, and accepted those of which an engine
 	// has accepted a prefill.
 	arrived, accepted map[string]bool
@@ -56,8 +57,8 @@
 
 func (e *rejectingEngines) Prefill(ctx context.Context, c *Call, t Attempt) (Handle, error) {
 	e.mu.Lock()
-	rejected := e.random.Float64() < e.rejecting
-	if rejected || e.accepted[c.ID] {
+	rejected, reset := e.random.Float64() < e.rejecting, e.random.Float64() < e.resetting
+	if rejected || reset || e.accepted[c.ID] {
 		e.arrive(c)
 	} else {
 		e.accepted[c.ID] = true
@@ -67,6 +68,9 @@
 		clock.Sleep(ctx, rejectTime)
 		return Handle{}, &NotRunError{Status: http.StatusServiceUnavailable}
 	}
+	if reset {
+		return Handle{}, io.ErrUnexpectedEOF
+	}
 	e.mu.Lock()
 	e.prefilled++
 	e.mu.Unlock()
@@ -122,7 +126,8 @@
 	var rate, seconds float64
 	d.ScanArgs(t, "rate", &rate)
 	d.ScanArgs(t, "seconds", &seconds)
-	l.engines.rejecting, l.engines.failing = 0, 0
+	l.engines.rejecting, l.engines.resetting, l.engines.failing = 0, 0, 0
+	d.MaybeScanArgs(t, "resetting", &l.engines.resetting)
 	d.MaybeScanArgs(t, "rejecting", &l.engines.rejecting)
 	d.MaybeScanArgs(t, "failing", &l.engines.failing)
 	before := l.engines.prefilled
@@ -159,8 +164,9 @@
 	return s.check()
 }
 
-// TestRejectedPrefillsWithinBudget guards against prefills that engines turn away
-// without a charge to the retry budget, which broke it on days of shedding engines.
+// TestRejectedPrefillsWithinBudget guards against prefills that engines turn away, or do
+// not answer, without a charge to the retry budget, which broke it on days of shedding and
+// of resetting engines.
 func TestRejectedPrefillsWithinBudget(t *testing.T) {
 	datadriven.Walk(t, "testdata/prefills", func(t *testing.T, path string) {
 		synctest.Test(t, func(t *testing.T) {
