Let the number of entries fall only after a while for all that they share

The same cause as elsewhere: limits of endpoints are divided among the entries known at the moment. With two known of 31 for six seconds an endpoint would get more than its limit allows.

The relay now sees a number of entries that falls only after the window of the budget, 10 s at least, for the limits of endpoints and for the retry budget, whose account no longer keeps numbers of its own.

TestRequestLimit/entries_unknown and TestRetryBudget/entries_unknown find false without that memory, and pass.

--- a/relay/budget.go
+++ b/relay/budget.go
@@ -87,10 +87,7 @@
 
 // accountSlot holds the counts of one part of the time.
 type accountSlot struct {
-	number int64
-	// entries is the largest number of entries that was known. The slack is divided among
-	// the most of the window, as those that are gone have used their shares there.
-	entries  int
+	number   int64
 	requests int
 	retries  int
 	// prefills are those for which a retry was held, and unaccepted those of them that
@@ -100,10 +97,10 @@
 }
 
 // recordRequest counts one request.
-func (r *retryAccount) recordRequest(now time.Time, b RetryBudget, entries int) {
+func (r *retryAccount) recordRequest(now time.Time, b RetryBudget) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s := r.slot(now, b, entries); s != nil {
+	if s := r.slot(now, b); s != nil {
 		s.requests++
 	}
 }
@@ -114,12 +111,12 @@
 func (r *retryAccount) withdraw(now time.Time, b RetryBudget, entries int, reason retryReason, prefills bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	current := r.slot(now, b, entries)
+	current := r.slot(now, b)
 	if current == nil {
 		return false
 	}
 	w := r.count(current.number)
-	allowed := w.allowed(now, b)
+	allowed := w.allowed(now, b, entries)
 	if prefills {
 		allowed *= 1 - heldFraction
 	}
@@ -146,11 +143,11 @@
 }
 
 // settle ends a hold.
-func (r *retryAccount) settle(now time.Time, b RetryBudget, entries int, result holdResult) {
+func (r *retryAccount) settle(now time.Time, b RetryBudget, result holdResult) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.held--
-	s := r.slot(now, b, entries)
+	s := r.slot(now, b)
 	if s == nil || result == holdUnused {
 		return
 	}
@@ -171,24 +168,24 @@
 // allowsHold reports whether the share has room for one more hold. A budget without a
 // window bounds none. r.mu must be held.
 func (r *retryAccount) allowsHold(now time.Time, b RetryBudget, entries int) bool {
-	current := r.slot(now, b, entries)
+	current := r.slot(now, b)
 	if current == nil {
 		return true
 	}
 	w := r.count(current.number)
-	return float64(w.retries)+float64(r.held+1)*w.holdRisk() <= w.allowed(now, b)
+	return float64(w.retries)+float64(r.held+1)*w.holdRisk() <= w.allowed(now, b, entries)
 }
 
 // balance returns the number of retries that are left.
 func (r *retryAccount) balance(now time.Time, b RetryBudget, entries int) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	current := r.slot(now, b, entries)
+	current := r.slot(now, b)
 	if current == nil {
 		return 0
 	}
 	w := r.count(current.number)
-	return w.allowed(now, b) - float64(w.retries)
+	return w.allowed(now, b, entries) - float64(w.retries)
 }
 
 // count returns the sums over the window that ends with a slot. They err on the side of
@@ -204,7 +201,6 @@
 		w.retries += s.retries
 		w.prefills += s.prefills
 		w.unaccepted += s.unaccepted
-		w.entries = max(w.entries, s.entries)
 		if age < accountSlots {
 			w.requests += s.requests
 		}
@@ -216,8 +212,8 @@
 // share of the slack grows over the first window of the process. However often it restarts,
 // the shares of its lifetimes within a window are one share at most, besides that of the
 // lifetime before.
-func (s accountSlot) allowed(now time.Time, b RetryBudget) float64 {
-	share := b.Slack * slackFraction / float64(max(s.entries, minEntries))
+func (s accountSlot) allowed(now time.Time, b RetryBudget, entries int) float64 {
+	share := b.Slack * slackFraction / float64(max(entries, minEntries))
 	if !b.Since.IsZero() {
 		share *= min(float64(now.Sub(b.Since))/float64(b.Window), 1)
 	}
@@ -229,9 +225,8 @@
 	return min(riskMargin*(float64(s.unaccepted)+priorUnaccepted)/(float64(s.prefills)+priorPrefills), 1)
 }
 
-// slot returns the slot of a time, at which some entries are known, or nil for a budget
-// without a window.
-func (r *retryAccount) slot(now time.Time, b RetryBudget, entries int) *accountSlot {
+// slot returns the slot of a time, or nil for a budget without a window.
+func (r *retryAccount) slot(now time.Time, b RetryBudget) *accountSlot {
 	length := b.Window / accountSlots
 	if length <= 0 {
 		return nil
@@ -244,6 +239,5 @@
 	if s.number != number {
 		*s = accountSlot{number: number}
 	}
-	s.entries = max(s.entries, entries)
 	return s
 }
--- a/relay/budget_test.go
+++ b/relay/budget_test.go
@@ -27,7 +27,7 @@
 				s.budget.Ratio, s.budget.Window = 0.2, 10*time.Second
 				s.accounts, s.known = make([]*budgetEntry, entries), entries
 				for i := range s.accounts {
-					s.accounts[i] = &budgetEntry{}
+					s.accounts[i] = &budgetEntry{count: entryCount{memory: s.budget.Window}}
 				}
 				return ""
 			case "load":
@@ -36,7 +36,7 @@
 				var entries int
 				d.ScanArgs(t, "entries", &entries)
 				for i := range entries {
-					s.accounts[i] = &budgetEntry{since: s.now}
+					s.accounts[i] = &budgetEntry{since: s.now, count: entryCount{memory: s.budget.Window}}
 				}
 				return ""
 			case "known":
@@ -51,10 +51,12 @@
 	})
 }
 
-// budgetEntry is the account of one entry that has shared the budget since some time.
+// budgetEntry is the account of one entry that has shared the budget since some time, and
+// what it knows of the number of entries.
 type budgetEntry struct {
 	retryAccount
 	since time.Time
+	count entryCount
 }
 
 // budgetSimulation is the retries of a fleet on a simulated clock.
@@ -87,13 +89,14 @@
 		a := s.accounts[first+s.random.IntN(len(s.accounts)-first)]
 		budget := s.budget
 		budget.Since = a.since
-		a.recordRequest(s.now, budget, s.known)
+		entries := a.count.observe(s.now, s.known)
+		a.recordRequest(s.now, budget)
 		s.requests = append(s.requests, s.now)
 		if s.random.Float64() >= failing {
 			continue
 		}
 		asked++
-		if !a.withdraw(s.now, budget, s.known, reason, false) {
+		if !a.withdraw(s.now, budget, entries, reason, false) {
 			denied++
 			continue
 		}
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -460,7 +460,7 @@
 }
 
 func (r *Relay) settlePrefill(cs *callState, result holdResult) {
-	r.retryAccountOf(cs.pool.Name).settle(time.Now(), r.budget, r.fleet.Entries(), result)
+	r.retryAccountOf(cs.pool.Name).settle(time.Now(), r.budget, result)
 }
 
 func (r *Relay) queueOf(pool string) *queue {
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -23,6 +23,9 @@
 				return ""
 			case "load":
 				return s.load(t, d)
+			case "known":
+				d.ScanArgs(t, "entries", &s.known)
+				return ""
 			case "check":
 				return s.check()
 			}
@@ -38,6 +41,9 @@
 	random *rand.Rand
 	now    time.Time
 	limits []requestLimit
+	// counts are what each entry knows of the number of entries, of which it now knows some.
+	counts []entryCount
+	known  int
 	rate   float64
 	sent   []time.Time
 }
@@ -48,8 +54,9 @@
 	entries := 0
 	d.ScanArgs(t, "entries", &entries)
 	d.ScanArgs(t, "limit", &s.rate)
-	s.limits = make([]requestLimit, entries)
+	s.limits, s.counts, s.known = make([]requestLimit, entries), make([]entryCount, entries), entries
 	for i := range s.limits {
+		s.counts[i].memory = minEntryMemory
 		s.limits[i].hear(s.now, s.rate, entries, s.random.Float64())
 	}
 	return s
@@ -65,8 +72,10 @@
 	sent := 0
 	for end := s.now.Add(time.Duration(seconds * float64(time.Second))); s.now.Before(end); {
 		s.now = s.now.Add(time.Duration(s.random.ExpFloat64() / rate * float64(time.Second)))
-		if l := &s.limits[s.random.IntN(len(s.limits))]; l.allows(s.now, len(s.limits)) {
-			l.take(len(s.limits))
+		i := s.random.IntN(len(s.limits))
+		l, entries := &s.limits[i], s.counts[i].observe(s.now, s.known)
+		if l.allows(s.now, entries) {
+			l.take(entries)
 			s.sent = append(s.sent, s.now)
 			sent++
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -65,7 +65,7 @@
 	Versions(ctx context.Context, pool string) ([]string, error)
 	// EndpointNamed returns the newest record of an endpoint, or nil.
 	EndpointNamed(name string) *controlv1.Endpoint
-	// Entries returns the number of known entries.
+	// Entries returns the number of known entries. What entries share is divided by it.
 	Entries() int
 	// Changed returns a channel that is closed at the next change.
 	Changed() <-chan struct{}
@@ -119,7 +119,7 @@
 // New returns the relay of an entry in a failure domain.
 func New(fleet Fleet, sender Sender, engines Engines, strikes Strikes, domain string, budget RetryBudget, decisions *decision.Log, log *logrus.Entry) *Relay {
 	return &Relay{
-		fleet: fleet, sender: sender, engines: engines, strikes: strikes, domain: domain, budget: budget, decisions: decisions, log: log, metrics: newMetrics(),
+		fleet: newSteadyFleet(fleet, budget.Window), sender: sender, engines: engines, strikes: strikes, domain: domain, budget: budget, decisions: decisions, log: log, metrics: newMetrics(),
 		workload: &workload.Recorder{}, crashReports: make(chan crashReport, crashReportBuffer), random: rand.Float64, streams: noStreams{},
 	}
 }
@@ -171,7 +171,7 @@
 	cs.pool, _ = d.Pool(pool)
 	cs.firstArrived = c.Arrived.Add(-r.retryDetector.sinceFirstArrival(cs.route.Name, c.Timeout))
 	r.recordCall(cs)
-	r.retryAccountOf(cs.pool.Name).recordRequest(time.Now(), r.budget, r.fleet.Entries())
+	r.retryAccountOf(cs.pool.Name).recordRequest(time.Now(), r.budget)
 	if originErr != nil {
 		r.endFailed(ctx, cs, originErr)
 		return
