--- a/relay/prefill_budget_test.go
+++ b/relay/prefill_budget_test.go
@@ -88,6 +88,13 @@
 	return &Reply{Status: http.StatusOK, Events: true, Header: http.Header{}, Body: io.NopCloser(streamOf([]string{"1"}))}, nil
 }
 
+// prefilledCount returns the number of prompts computed.
+func (e *rejectingEngines) prefilledCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.prefilled
+}
+
 // arrive records a request. e.mu must be held.
 func (e *rejectingEngines) arrive(c *Call) {
 	if e.arrived[c.ID] {
@@ -99,6 +106,7 @@
 // prefillLoad offers calls to the relays of a fleet.
 type prefillLoad struct {
 	budget   RetryBudget
+	random   *rand.Rand
 	engines  *rejectingEngines
 	relays   []*Relay
 	requests []time.Time
@@ -107,6 +115,7 @@
 func newPrefillLoad(t *testing.T, entries int, slack float64) *prefillLoad {
 	t.Helper()
 	l := &prefillLoad{
+		random:  rand.New(rand.NewPCG(3, 4)),
 		budget:  RetryBudget{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
 		engines: &rejectingEngines{random: rand.New(rand.NewPCG(1, 2)), arrived: map[string]bool{}, accepted: map[string]bool{}},
 	}
@@ -130,13 +139,13 @@
 	d.MaybeScanArgs(t, "resetting", &l.engines.resetting)
 	d.MaybeScanArgs(t, "rejecting", &l.engines.rejecting)
 	d.MaybeScanArgs(t, "failing", &l.engines.failing)
-	before := l.engines.prefilled
+	before := l.engines.prefilledCount()
 	var done sync.WaitGroup
 	var callers []*recordingCaller
 	for end := time.Now().Add(time.Duration(seconds * float64(time.Second))); time.Now().Before(end); {
-		time.Sleep(time.Duration(l.engines.random.ExpFloat64() / rate * float64(time.Second)))
+		time.Sleep(time.Duration(l.random.ExpFloat64() / rate * float64(time.Second)))
 		c := &recordingCaller{}
-		r, id := l.relays[l.engines.random.IntN(len(l.relays))], fmt.Sprint(len(l.requests))
+		r, id := l.relays[l.random.IntN(len(l.relays))], fmt.Sprint(len(l.requests))
 		l.requests, callers = append(l.requests, time.Now()), append(callers, c)
 		done.Go(func() {
 			r.Serve(t.Context(), &Call{
@@ -151,7 +160,7 @@
 	if slices.ContainsFunc(callers, func(c *recordingCaller) bool { return c.out.String() != "begin\nevent 1\n" }) {
 		out = "answered: some\n"
 	}
-	if float64(l.engines.prefilled-before) > minPrefilled*float64(len(callers)) {
+	if float64(l.engines.prefilledCount()-before) > minPrefilled*float64(len(callers)) {
 		out += "prefilled: nearly all\n"
 	}
 	return out
