--- a/proof/platform_engine_test.go
+++ b/proof/platform_engine_test.go
@@ -303,12 +303,18 @@
 func newPlatformEngines(t *testing.T, controls []netip.AddrPort, decode, prefill int, versions ...string) *platformEngines {
 	t.Helper()
 	p := &platformEngines{t: t, controls: controls}
+	p.startStages(decode, prefill, versions...)
+	return p
+}
+
+// startStages starts decode and prefill engines at addresses of their own. The versions of
+// the engines of a stage take turns.
+func (p *platformEngines) startStages(decode, prefill int, versions ...string) {
 	for i := range decode + prefill {
 		stage := "decode"
 		if i >= decode {
 			stage = "prefill"
 		}
-		p.start(t.Context(), ports.Free(), stage, versions[i%len(versions)])
+		p.start(p.t.Context(), ports.Free(), stage, versions[i%len(versions)])
 	}
-	return p
 }
--- a/proof/platform_stale_entry_test.go
+++ b/proof/platform_stale_entry_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"ebonyreel/clock"
-	"ebonyreel/standin/ports"
 )
 
 const (
@@ -37,7 +36,7 @@
 	all.Go(func() {
 		clock.Sleep(t.Context(), staleFrozen)
 		stale.freeze()
-		joinEngines(t, engines, "v2")
+		engines.startStages(joiningDecode, joiningPrefill, "v2")
 		clock.Sleep(t.Context(), time.Until(start.Add(staleSilent)))
 		for _, p := range h.processes {
 			p.freeze()
@@ -70,15 +69,3 @@
 		t.Error("too few streams of the new version to judge")
 	}
 }
-
-// joinEngines starts engines of a version at addresses of their own.
-func joinEngines(t *testing.T, engines *platformEngines, version string) {
-	t.Helper()
-	for i := range joiningDecode + joiningPrefill {
-		stage := "decode"
-		if i >= joiningDecode {
-			stage = "prefill"
-		}
-		engines.start(t.Context(), ports.Free(), stage, version)
-	}
-}
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -113,7 +113,8 @@
 	case err == nil, errors.As(err, &status):
 		result, cause = holdAccepted, ""
 	case ctx.Err() != nil:
-		// No further request of the call follows.
+		// The call ends, or it goes on with the request that was open before. Then the
+		// retry that this prefill was for stays charged.
 		result, cause = holdUnused, ""
 	}
 	if cause != "" {
--- a/relay/prefill_budget_test.go
+++ b/relay/prefill_budget_test.go
@@ -39,7 +39,6 @@
 // decode. They record when requests arrive.
 type rejectingEngines struct {
 	fakeEngines
-	mu                            sync.Mutex
 	random                        *rand.Rand
 	rejecting, resetting, failing float64
 	// arrived holds the requests that have arrived, and accepted those of which an engine
@@ -47,8 +46,7 @@
 	arrived, accepted map[string]bool
 	// extra is when requests arrived beyond the first of each call. The first prefill that
 	// an engine accepts is not one.
-	extra     []time.Time
-	prefilled int
+	extra []time.Time
 }
 
 func (e *rejectingEngines) Reserve(context.Context, Endpoint, int, time.Duration) (string, error) {
@@ -71,11 +69,7 @@
 	if reset {
 		return Handle{}, io.ErrUnexpectedEOF
 	}
-	e.mu.Lock()
-	e.prefilled++
-	e.mu.Unlock()
-	clock.Sleep(ctx, prefillTime)
-	return Handle{At: t.Endpoint, ID: "handle"}, ctx.Err()
+	return e.fakeEngines.Prefill(ctx, c, t)
 }
 
 func (e *rejectingEngines) Send(_ context.Context, c *Call, _ Attempt) (*Reply, error) {
@@ -92,7 +86,7 @@
 func (e *rejectingEngines) prefilledCount() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.prefilled
+	return e.prefills
 }
 
 // arrive records a request. e.mu must be held.
