--- a/control/loop.go
+++ b/control/loop.go
@@ -172,7 +172,7 @@
 	if r.Snapshot == nil {
 		return nil
 	}
-	if err := l.awaitSnapshot(); err != nil {
+	if err := l.abandonSnapshot(); err != nil {
 		return err
 	}
 	if err := l.wal.Compact(r.Snapshot, l.node.HardState(), nil); err != nil {
@@ -367,12 +367,19 @@
 	return err
 }
 
-// awaitSnapshot waits until the pending snapshot, if any, has been written.
-func (l *loop) awaitSnapshot() error {
+// abandonSnapshot waits until the pending snapshot, if any, has been written, and
+// leaves the log as it is: a newer snapshot has replaced it.
+func (l *loop) abandonSnapshot() error {
 	if l.pendingSnapshot == nil {
 		return nil
 	}
-	return l.finishSnapshot(<-l.pendingSnapshot.done)
+	err := <-l.pendingSnapshot.done
+	l.pendingSnapshot = nil
+	var full *writeahead.DiskFullError
+	if errors.As(err, &full) {
+		return nil
+	}
+	return err
 }
 
 // snapshotDone returns the channel that receives the result of the pending
--- a/replica/log.go
+++ b/replica/log.go
@@ -91,8 +91,11 @@
 }
 
 // compact sets the snapshot and drops the entries that it covers, but for the
-// last retained ones.
+// last retained ones. It does nothing if the log has a newer snapshot.
 func (l *entryLog) compact(s *replicav1.Snapshot, retained uint64) {
+	if s.GetIndex() < l.snapshot.GetIndex() {
+		return
+	}
 	l.snapshot = s
 	if s.GetIndex() <= l.offset+retained {
 		return
