Compact the log once it is larger than the state, and not only after 20,000 entries

No document was acknowledged any more, and the newest acknowledged one could not be read back (CONFIG).

Cause: the log was compacted after 20,000 applied entries, whatever their size. An entry with a document of that size takes two thirds of a megabyte, as it holds the document as it was sent and as it was resolved, so that less than 200 changes fill a disk of 128 MB.

Change: the log knows the size of its entries.

Why it works: each document replaces the one before, and the state keeps three of them. With the log bounded by the state, and each of the two written beside what it replaces, the folder is bounded by four times the state or 16 MiB more than twice the state.

--- a/control/loop.go
+++ b/control/loop.go
@@ -35,11 +35,18 @@
 	// 4 s of its start.
 	voterTimeout = 2 * time.Second
 	// snapshotEntries is the number of entries that are applied between snapshots,
-	// and retainedEntries the number of them that are kept for slow followers.
-	snapshotEntries = 20_000
-	retainedEntries = 2_000
+	// and minSnapshotBytes the size of them where the state is smaller than that.
+	snapshotEntries  = 20_000
+	minSnapshotBytes = 8 << 20
+	// snapshotRetryInterval is the time between attempts to write a snapshot to a
+	// full disk.
+	snapshotRetryInterval = time.Second
 )
 
+// retained bounds the entries that a snapshot covers and that are kept for slow
+// followers.
+var retained = replica.Retention{Entries: 2_000, Bytes: 2 << 20}
+
 // input is a request or message that the loop handles.
 type input interface {
 	handle(l *loop, now time.Time)
@@ -75,9 +82,12 @@
 	peers *peers
 	log   *logrus.Entry
 	// applied is the index of the last applied entry, and compacted the index of
-	// the last snapshot.
-	applied   uint64
-	compacted uint64
+	// the last snapshot. snapshotBytes is the size of that snapshot.
+	applied       uint64
+	compacted     uint64
+	snapshotBytes int
+	// nextSnapshot is the earliest time of the next snapshot.
+	nextSnapshot time.Time
 	// pendingSnapshot is the snapshot that is being written to the disk, or nil.
 	pendingSnapshot *snapshotWrite
 	// pendingProposals is keyed by log index.
@@ -178,7 +188,7 @@
 	if err := l.wal.Compact(r.Snapshot, l.node.HardState(), nil); err != nil {
 		return err
 	}
-	l.compacted = r.Snapshot.GetIndex()
+	l.compacted, l.snapshotBytes = r.Snapshot.GetIndex(), len(r.Snapshot.GetState())
 	return nil
 }
 
@@ -320,7 +330,7 @@
 // compact takes a snapshot once enough entries have been applied. The snapshot
 // is written in the background while the loop continues with the old segment.
 func (l *loop) compact() error {
-	if l.pendingSnapshot != nil || l.applied < l.compacted+snapshotEntries {
+	if !l.mustCompact() || time.Now().Before(l.nextSnapshot) {
 		return nil
 	}
 	b, err := l.store.snapshot()
@@ -330,13 +340,23 @@
 	s := &replicav1.Snapshot{
 		Index: l.applied, Term: l.node.Term(l.applied), Configuration: l.node.Configuration(l.applied), State: b,
 	}
-	l.compacted = l.applied
 	w := &snapshotWrite{snapshot: s, done: make(chan error, 1)}
 	l.pendingSnapshot = w
 	go func() { w.done <- l.wal.SaveSnapshot(s) }()
 	return nil
 }
 
+// mustCompact reports whether the entries since the last snapshot are too many, or
+// larger than the state that they lead to. Documents are large, and each replaces
+// the one before it, so that the log may outgrow the state many times.
+func (l *loop) mustCompact() bool {
+	if l.pendingSnapshot != nil || l.applied == l.compacted {
+		return false
+	}
+	limit := max(minSnapshotBytes, l.snapshotBytes)
+	return l.applied >= l.compacted+snapshotEntries || l.node.Size(l.compacted, l.applied) >= limit
+}
+
 // snapshotWrite is a snapshot that is being written to the disk.
 type snapshotWrite struct {
 	snapshot *replicav1.Snapshot
@@ -346,19 +366,21 @@
 
 // finishSnapshot truncates the log after the pending snapshot has been written,
 // unless err says that the write failed. A full disk is not an error: the old
-// segment stays in use until the next snapshot.
+// segment stays in use, and the snapshot is taken again later.
 func (l *loop) finishSnapshot(err error) error {
 	s := l.pendingSnapshot.snapshot
 	l.pendingSnapshot = nil
 	var full *writeahead.DiskFullError
 	if errors.As(err, &full) {
+		l.nextSnapshot = time.Now().Add(snapshotRetryInterval)
 		l.log.WithError(err).Warn("snapshot not written because the disk is full; the log is not truncated")
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	l.node.Compact(s, retainedEntries)
+	l.compacted, l.snapshotBytes = s.GetIndex(), len(s.GetState())
+	l.node.Compact(s, retained)
 	err = l.wal.ReplaceSegment(l.node.HardState(), l.node.Retained())
 	if errors.As(err, &full) {
 		l.log.WithError(err).Warn("new segment not started because the disk is full; continuing with the old one")
--- a/control/store.go
+++ b/control/store.go
@@ -149,7 +149,7 @@
 	}
 	l := &loop{
 		store: s, wal: wal, peers: s.peers, log: log,
-		applied: content.Snapshot.GetIndex(), compacted: content.Snapshot.GetIndex(),
+		applied: content.Snapshot.GetIndex(), compacted: content.Snapshot.GetIndex(), snapshotBytes: len(content.Snapshot.GetState()),
 		pendingProposals: map[uint64]pendingProposal{}, pendingReads: map[uint64]chan error{}, lastReadNumber: rand.Uint64(),
 	}
 	l.node = replica.New(options, replica.Stored{State: content.State, Snapshot: content.Snapshot, Entries: content.Entries}, time.Now())
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -17,6 +17,7 @@
 	testHeartbeatInterval = 100 * time.Millisecond
 	testTick              = 25 * time.Millisecond
 	testRetainedEntries   = 2
+	testRetainedBytes     = 1 << 10
 )
 
 // host is a node with its disk and the commands that it has applied, up to
@@ -296,7 +297,7 @@
 		Index: h.appliedIndex, Term: h.node.Term(h.appliedIndex), Configuration: h.node.Configuration(h.appliedIndex),
 		State: []byte(strings.Join(h.applied, " ")),
 	}
-	h.node.Compact(s, testRetainedEntries)
+	h.node.Compact(s, Retention{Entries: testRetainedEntries, Bytes: testRetainedBytes})
 	h.disk.Snapshot = s
 	h.disk.Entries = append([]*replicav1.Entry(nil), h.node.Retained()...)
 }
--- a/replica/log.go
+++ b/replica/log.go
@@ -1,6 +1,12 @@
 package replica
 
-import replicav1 "ebonyreel/proto/replica/v1"
+import (
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	replicav1 "ebonyreel/proto/replica/v1"
+)
 
 // entryLog is a snapshot and the entries after it. It may also hold some
 // entries that the snapshot covers, for slow followers.
@@ -13,13 +19,17 @@
 	offset uint64
 	// offsetTerm is the term of the entry at offset.
 	offsetTerm uint64
+	// ends holds, for each of entries, the size of all entries that were appended up
+	// to and including it, in bytes. start is the same for the entry at offset.
+	ends  []int
+	start int
 }
 
 func newLog(s Stored) entryLog {
 	l := entryLog{snapshot: s.Snapshot, offset: s.Snapshot.GetIndex(), offsetTerm: s.Snapshot.GetTerm()}
 	for _, e := range s.Entries {
 		if e.GetIndex() > l.offset {
-			l.entries = append(l.entries, e)
+			l.append(e)
 		}
 	}
 	return l
@@ -61,14 +71,35 @@
 	return l.entries[after-l.offset : to-l.offset : to-l.offset]
 }
 
+// size returns the size of the entries after one index, up to and including
+// another, in bytes. Entries that the log does not hold are not counted.
+func (l *entryLog) size(after, to uint64) int {
+	after, to = max(after, l.offset), min(to, l.lastIndex())
+	if to <= after {
+		return 0
+	}
+	return l.end(to) - l.end(after)
+}
+
+// end returns the element of ends for an index, or start for offset.
+func (l *entryLog) end(index uint64) int {
+	if index == l.offset {
+		return l.start
+	}
+	return l.ends[index-l.offset-1]
+}
+
 func (l *entryLog) append(e *replicav1.Entry) {
+	end := l.end(l.lastIndex()) + proto.Size(e)
 	l.entries = append(l.entries, e)
+	l.ends = append(l.ends, end)
 }
 
 // truncate drops the entries from an index on.
 func (l *entryLog) truncate(index uint64) {
 	remaining := index - l.offset - 1
 	l.entries = l.entries[:remaining:remaining]
+	l.ends = l.ends[:remaining]
 }
 
 // retryIndex returns the index at which a leader should try to match this log
@@ -91,19 +122,35 @@
 }
 
 // compact sets the snapshot and drops the entries that it covers, but for the
-// last retained ones. It does nothing if the log has a newer snapshot.
-func (l *entryLog) compact(s *replicav1.Snapshot, retained uint64) {
+// last ones within the limits of r. It does nothing if the log has a newer snapshot.
+func (l *entryLog) compact(s *replicav1.Snapshot, r Retention) {
 	if s.GetIndex() < l.snapshot.GetIndex() {
 		return
 	}
 	l.snapshot = s
-	if s.GetIndex() <= l.offset+retained {
+	offset := l.retainedFrom(s.GetIndex(), r)
+	if offset <= l.offset {
 		return
 	}
-	offset := s.GetIndex() - retained
 	t, _ := l.term(offset)
-	l.entries = append([]*replicav1.Entry(nil), l.entries[offset-l.offset:]...)
-	l.offset, l.offsetTerm = offset, t
+	start, dropped := l.end(offset), offset-l.offset
+	l.entries = append([]*replicav1.Entry(nil), l.entries[dropped:]...)
+	l.ends = append([]int(nil), l.ends[dropped:]...)
+	l.offset, l.offsetTerm, l.start = offset, t, start
+}
+
+// retainedFrom returns the index after which the entries up to a snapshot's index
+// are within the limits of r.
+func (l *entryLog) retainedFrom(snapshot uint64, r Retention) uint64 {
+	first := l.offset
+	if snapshot > first+r.Entries {
+		first = snapshot - r.Entries
+	}
+	if snapshot <= first {
+		return first
+	}
+	beyond := sort.Search(int(snapshot-first), func(i int) bool { return l.size(first+uint64(i), snapshot) <= r.Bytes })
+	return first + uint64(beyond)
 }
 
 // configuration returns the newest configuration up to an index, and the index
--- a/replica/log_test.go
+++ b/replica/log_test.go
@@ -14,7 +14,7 @@
 		Snapshot: &replicav1.Snapshot{Index: 9, Term: 2},
 		Entries:  []*replicav1.Entry{{Index: 10, Term: 2}},
 	}, time.Unix(1000, 0))
-	n.Compact(&replicav1.Snapshot{Index: 5, Term: 1}, 0)
+	n.Compact(&replicav1.Snapshot{Index: 5, Term: 1}, Retention{})
 	if got := n.log.snapshot.GetIndex(); got != 9 {
 		t.Errorf("the log has the snapshot of index %d, want that of index 9", got)
 	}
--- a/replica/ready.go
+++ b/replica/ready.go
@@ -72,11 +72,23 @@
 	}
 }
 
+// Retention bounds the entries that stay in the log although a snapshot covers
+// them, so that slow followers do not need the snapshot.
+type Retention struct {
+	Entries uint64
+	Bytes   int
+}
+
 // Compact replaces the log up to the index of a snapshot, which must have been
-// applied and saved. The last retained entries that the snapshot covers stay in
-// the log, for slow followers.
-func (n *Node) Compact(s *replicav1.Snapshot, retained uint64) {
-	n.log.compact(s, retained)
+// applied and saved.
+func (n *Node) Compact(s *replicav1.Snapshot, r Retention) {
+	n.log.compact(s, r)
+}
+
+// Size returns the size of the entries after an index, up to and including
+// another, in bytes.
+func (n *Node) Size(after, to uint64) int {
+	return n.log.size(after, to)
 }
 
 // Retained returns the entries of the log that are on this disk.
