Bound what is in flight to a control host in bytes, and send it again only when asked

Each heartbeat without progress, ten a second, sent everything in flight again, so that a host with a stalled disk or a cut link was sent the same megabytes many times.

Change: entries in flight to one host are bounded by 8 MiB, its queue by 16 MiB and a call by 1 MiB, beyond one message each. Heartbeats carry no entries twice: a host that lost some rejects the heartbeat and says where to begin. After a rejection one append is sent at a time until one is accepted, and the rejections of what was in flight behind the lost message are ignored.

Why it works: no term of what a leader holds for a host grows with the log, with the size of the documents beyond one of them, or with the time that the host is silent.

--- a/control/loop.go
+++ b/control/loop.go
@@ -41,6 +41,8 @@
 	// snapshotRetryInterval is the time between attempts to write a snapshot to a
 	// full disk.
 	snapshotRetryInterval = time.Second
+	// maxInFlightBytes bounds the entries that another host has not acknowledged.
+	maxInFlightBytes = 8 << 20
 )
 
 // retained bounds the entries that a snapshot covers and that are kept for slow
--- a/control/peers.go
+++ b/control/peers.go
@@ -6,9 +6,11 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	replicav1 "ebonyreel/proto/replica/v1"
 	"ebonyreel/proto/replica/v1/replicav1connect"
@@ -17,9 +19,14 @@
 )
 
 const (
-	// maxQueuedMessages is the number of messages that may wait for one host.
-	// Further ones are dropped, and the replica sends them again.
+	// maxQueuedMessages is the number of messages that may wait for one host, and
+	// maxQueuedBytes their size, which one message may exceed. Further ones are
+	// dropped, and the replica sends them again.
 	maxQueuedMessages = 1024
+	maxQueuedBytes    = 16 << 20
+	// maxDeliverBytes is the size of the messages of one Deliver call above which no
+	// more are added to it.
+	maxDeliverBytes = 1 << 20
 	// deliverTimeout bounds one Deliver call.
 	deliverTimeout = time.Second
 )
@@ -54,11 +61,57 @@
 	address netip.AddrPort
 	client  replicav1connect.ReplicaServiceClient
 	// queue holds the messages that wait for delivery.
-	queue chan *replicav1.Message
+	queue chan queuedMessage
+	// queuedBytes is the size of the messages in queue.
+	queuedBytes atomic.Int64
 	// cancel stops the delivery.
 	cancel context.CancelFunc
 }
 
+// queuedMessage is a message that waits for delivery.
+type queuedMessage struct {
+	message *replicav1.Message
+	// bytes is the size of the message.
+	bytes int64
+}
+
+// enqueue queues a message for delivery, and reports whether there was room.
+func (h *host) enqueue(m *replicav1.Message) bool {
+	if h.queuedBytes.Load() >= maxQueuedBytes {
+		return false
+	}
+	q := queuedMessage{message: m, bytes: int64(proto.Size(m))}
+	h.queuedBytes.Add(q.bytes)
+	select {
+	case h.queue <- q:
+		return true
+	default:
+		h.queuedBytes.Add(-q.bytes)
+		return false
+	}
+}
+
+// next waits for the next messages for one Deliver call. It returns none once the
+// context has ended.
+func (h *host) next(ctx context.Context) []*replicav1.Message {
+	var out []*replicav1.Message
+	size := int64(0)
+	add := func(q queuedMessage) {
+		h.queuedBytes.Add(-q.bytes)
+		out, size = append(out, q.message), size+q.bytes
+	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case q := <-h.queue:
+		add(q)
+	}
+	for len(h.queue) > 0 && len(out) < maxQueuedMessages && size < maxDeliverBytes {
+		add(<-h.queue)
+	}
+	return out
+}
+
 func newPeers(id string, s settings.Control, h *http.Client, options ...connect.ClientOption) *peers {
 	p := &peers{
 		id: id, self: settings.ControlHost{Name: s.Name, Address: s.Peers}, configured: s.Cluster, seeds: s.Seeds,
@@ -98,7 +151,7 @@
 	if old != nil && old.address == address {
 		return
 	}
-	h := &host{name: name, address: address, client: p.dial(address), queue: make(chan *replicav1.Message, maxQueuedMessages)}
+	h := &host{name: name, address: address, client: p.dial(address), queue: make(chan queuedMessage, maxQueuedMessages)}
 	p.hosts[name] = h
 	if old != nil && old.cancel != nil {
 		old.cancel()
@@ -189,13 +242,7 @@
 			p.learnConfiguration(l)
 			h = p.hostOfServer(m.GetTo())
 		}
-		if h == nil {
-			l.store.droppedMessages.Add(1)
-			continue
-		}
-		select {
-		case h.queue <- m:
-		default:
+		if h == nil || !h.enqueue(m) {
 			l.store.droppedMessages.Add(1)
 		}
 	}
@@ -218,15 +265,9 @@
 // that are already queued share one call, and calls do not overlap.
 func (p *peers) deliver(ctx context.Context, h *host) {
 	for {
-		r := &replicav1.DeliverRequest{Id: p.id, Name: p.self.Name, Address: p.self.Address.String()}
-		select {
-		case <-ctx.Done():
+		r := &replicav1.DeliverRequest{Id: p.id, Name: p.self.Name, Address: p.self.Address.String(), Messages: h.next(ctx)}
+		if len(r.Messages) == 0 {
 			return
-		case m := <-h.queue:
-			r.Messages = append(r.Messages, m)
-		}
-		for len(h.queue) > 0 && len(r.Messages) < maxQueuedMessages {
-			r.Messages = append(r.Messages, <-h.queue)
 		}
 		call, cancel := context.WithTimeout(ctx, deliverTimeout)
 		// The replica sends lost messages again.
--- a/control/store.go
+++ b/control/store.go
@@ -144,7 +144,8 @@
 
 func newLoop(s *Store, wal *writeahead.Log, content *writeahead.Content, log *logrus.Entry) *loop {
 	options := replica.Options{
-		ID: content.ID, ElectionTimeout: electionTimeout, FirstElection: firstElectionTimeout, HeartbeatInterval: heartbeatInterval, AppendBytes: maxAppendBytes,
+		ID: content.ID, ElectionTimeout: electionTimeout, FirstElection: firstElectionTimeout, HeartbeatInterval: heartbeatInterval,
+		AppendBytes: maxAppendBytes, InFlightBytes: maxInFlightBytes,
 		Random: func(d time.Duration) time.Duration { return rand.N(d) },
 	}
 	l := &loop{
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -18,6 +18,7 @@
 	testTick              = 25 * time.Millisecond
 	testRetainedEntries   = 2
 	testRetainedBytes     = 1 << 10
+	testInFlightBytes     = 256
 )
 
 // host is a node with its disk and the commands that it has applied, up to
@@ -94,7 +95,7 @@
 	}
 	h.reads, h.answered = map[uint64]uint64{}, map[uint64]uint64{}
 	h.node = New(Options{
-		ID: h.id, ElectionTimeout: testElectionTimeout, HeartbeatInterval: testHeartbeatInterval, AppendBytes: 64,
+		ID: h.id, ElectionTimeout: testElectionTimeout, HeartbeatInterval: testHeartbeatInterval, AppendBytes: 64, InFlightBytes: testInFlightBytes,
 		Random: func(d time.Duration) time.Duration { return time.Duration(c.random.Int64N(int64(d))) },
 	}, Stored{State: h.disk.State, Snapshot: h.disk.Snapshot, Entries: append([]*replicav1.Entry(nil), h.disk.Entries...)}, c.now)
 }
@@ -273,6 +274,20 @@
 	}
 }
 
+// waitingEntries returns the number of entries in the messages that wait for a
+// host, and their size in bytes.
+func (c *cluster) waitingEntries(h *host) (count, size int) {
+	for _, m := range c.network {
+		if m.GetTo() != h.id {
+			continue
+		}
+		for _, e := range m.GetEntries() {
+			count, size = count+1, size+proto.Size(e)
+		}
+	}
+	return count, size
+}
+
 func (c *cluster) leader() *host {
 	var best *host
 	for _, name := range c.names() {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -58,6 +58,9 @@
 	// AppendBytes bounds the size of the entries in one message, in bytes. The
 	// first entry is sent whatever its size.
 	AppendBytes int
+	// InFlightBytes bounds the size of the entries that were sent to one server and
+	// not acknowledged, in bytes. One message may exceed it. Zero means no bound.
+	InFlightBytes int
 	// Random returns a random duration from zero up to limit.
 	Random func(limit time.Duration) time.Duration
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -112,6 +112,9 @@
 		h.frozen = false
 	case "compact":
 		c.compact(h)
+	case "waiting":
+		count, size := c.waitingEntries(h)
+		return fmt.Sprintf("%d entries, %d bytes\n", count, size)
 	case "transfer":
 		if err := h.node.Transfer(c.now); err != nil {
 			return err.Error() + "\n"
--- a/replica/replication.go
+++ b/replica/replication.go
@@ -1,12 +1,9 @@
 package replica
 
 import (
-	"math"
 	"sort"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	replicav1 "ebonyreel/proto/replica/v1"
 )
 
@@ -25,8 +22,15 @@
 	match uint64
 	// next is the index of the entry to send next; it is above match.
 	next uint64
-	// lastMatch is match at the previous heartbeat.
-	lastMatch uint64
+	// base is the index after which entries are in flight, up to the one before
+	// next; it is below next.
+	base uint64
+	// probing is true from a rejected append until the server accepts one. Until
+	// then at most one append with entries is in flight.
+	probing bool
+	// probeDeadline is until when rejections that return no earlier index than base
+	// are taken for answers to appends that were sent before the probe.
+	probeDeadline time.Time
 	// round is the newest read round that the server has echoed.
 	round uint64
 	// lastContact is when the server last answered, or at first when the leader
@@ -48,39 +52,38 @@
 		}
 		n.peers[id] = known[id]
 		if n.peers[id] == nil {
-			n.peers[id] = &progress{next: n.log.lastIndex() + 1, lastMatch: math.MaxUint64, lastContact: n.now}
+			n.peers[id] = &progress{next: n.log.lastIndex() + 1, base: n.log.lastIndex(), lastContact: n.now}
 		}
 	}
 }
 
-// heartbeat sends an append to every server, if need be without entries. If a
-// server has acknowledged nothing new since the last heartbeat, the entries
-// after its newest acknowledged one are sent again, unless a snapshot is under
-// way.
+// heartbeat sends an append to every server, if need be without entries. A server
+// that has lost entries rejects it, and gets them again.
 func (n *Node) heartbeat() {
 	n.nextHeartbeat = n.now.Add(n.options.HeartbeatInterval)
 	for _, id := range n.peerIDs() {
-		p := n.peers[id]
-		if p.match == p.lastMatch && !n.now.Before(p.snapshotDeadline) {
-			p.next = min(p.next, max(p.match+1, n.log.offset+1))
-		}
-		p.lastMatch = p.match
-		n.send(id, p, true)
+		n.send(id, n.peers[id], true)
 	}
 }
 
 // replicate sends each server the entries that were not sent to it yet.
 func (n *Node) replicate() {
 	for _, id := range n.peerIDs() {
-		p := n.peers[id]
-		for p.next <= n.log.lastIndex() && p.next-p.match <= maxInFlight {
-			if !n.send(id, p, false) {
-				break
-			}
+		for n.send(id, n.peers[id], false) {
 		}
 	}
 }
 
+// mayPipeline reports whether a server may be sent more entries before it has
+// acknowledged those in flight.
+func (n *Node) mayPipeline(p *progress) bool {
+	if p.probing || p.next-p.base > maxInFlight {
+		return false
+	}
+	limit := n.options.InFlightBytes
+	return limit == 0 || n.log.size(p.base, p.next-1) < limit
+}
+
 // peerIDs returns the IDs of the other servers. They are sorted, so that equal
 // inputs have equal effects.
 func (n *Node) peerIDs() []string {
@@ -92,41 +95,51 @@
 	return out
 }
 
-// send sends the next entries to a server, and reports whether it sent any.
-// With allowEmpty it also sends an append without entries. A server that needs
-// entries that were compacted away gets a snapshot, and until that is
-// acknowledged only appends without entries.
+// send sends the next entries to a server, as far as mayPipeline permits, and
+// reports whether it sent any. With allowEmpty it also sends an append without
+// entries. A server that needs entries that were compacted away gets a snapshot,
+// and until that is acknowledged only appends without entries.
 func (n *Node) send(id string, p *progress, allowEmpty bool) bool {
-	m := &replicav1.Message{Kind: replicav1.Message_KIND_APPEND, To: id, Commit: n.commit, Round: n.reads.round}
 	if n.now.Before(p.snapshotDeadline) {
 		if allowEmpty {
-			m.Commit = 0
-			n.queueBeforeSync(m)
+			n.queueBeforeSync(&replicav1.Message{Kind: replicav1.Message_KIND_APPEND, To: id, Round: n.reads.round})
 		}
 		return false
 	}
-	prev, ok := n.log.term(p.next - 1)
-	if !ok {
+	if p.next <= n.log.offset && p.base < p.next-1 {
+		// What is in flight was compacted away. The server tells by its answer
+		// whether it got it.
+		p.next, p.base = n.log.offset+1, n.log.offset
+	}
+	if _, ok := n.log.term(p.next - 1); !ok {
 		n.sendSnapshot(id, p)
 		return false
 	}
-	m.Index, m.IndexTerm = p.next-1, prev
-	m.Entries = n.nextBatch(p.next)
-	if len(m.Entries) == 0 && !allowEmpty {
+	var entries []*replicav1.Entry
+	if n.mayPipeline(p) {
+		entries = n.nextBatch(p.next)
+	}
+	if len(entries) == 0 && !allowEmpty {
 		return false
 	}
-	p.next += uint64(len(m.Entries))
+	n.sendAppend(id, p, entries)
+	return len(entries) > 0
+}
+
+// sendAppend sends entries, which begin at the server's next index.
+func (n *Node) sendAppend(id string, p *progress, entries []*replicav1.Entry) {
+	m := &replicav1.Message{Kind: replicav1.Message_KIND_APPEND, To: id, Commit: n.commit, Round: n.reads.round, Entries: entries}
+	m.Index = p.next - 1
+	m.IndexTerm, _ = n.log.term(m.Index)
+	p.next += uint64(len(entries))
 	n.queueBeforeSync(m)
-	return len(m.Entries) > 0
 }
 
 // nextBatch returns entries from an index on, up to AppendBytes in size.
 func (n *Node) nextBatch(index uint64) []*replicav1.Entry {
 	all := n.log.entriesFrom(index)
-	size := 0
-	for i, e := range all {
-		size += proto.Size(e)
-		if i > 0 && size > n.options.AppendBytes {
+	for i := 1; i < len(all); i++ {
+		if n.log.size(index-1, index+uint64(i)) > n.options.AppendBytes {
 			return all[:i]
 		}
 	}
@@ -136,7 +149,7 @@
 func (n *Node) sendSnapshot(id string, p *progress) {
 	s := n.log.snapshot
 	p.snapshotDeadline = n.now.Add(snapshotTimeouts * n.options.ElectionTimeout)
-	p.next = s.GetIndex() + 1
+	p.next, p.base, p.probing = s.GetIndex()+1, s.GetIndex(), false
 	n.queueBeforeSync(&replicav1.Message{Kind: replicav1.Message_KIND_SNAPSHOT, To: id, Snapshot: s, Round: n.reads.round})
 }
 
@@ -229,6 +242,7 @@
 		n.handleRejectedAppend(m, p)
 		return
 	}
+	p.probing = false
 	if m.GetIndex() <= p.match {
 		return
 	}
@@ -236,21 +250,26 @@
 	if p.match >= p.next-1 {
 		p.snapshotDeadline = time.Time{}
 	}
-	p.next = max(p.next, p.match+1)
+	p.next, p.base = max(p.next, p.match+1), max(p.base, p.match)
 	n.commitQuorum()
 	if n.transferTarget == m.GetFrom() {
 		n.completeTransfer()
 	}
 }
 
-// handleRejectedAppend sends entries again, from the index that the server
-// returned with its rejection.
+// handleRejectedAppend sends one batch of entries again, from the index that the
+// server returned with its rejection. The server also rejects all that was in
+// flight behind a lost message; these rejections, which return the same index, are
+// ignored.
 func (n *Node) handleRejectedAppend(m *replicav1.Message, p *progress) {
-	if n.now.Before(p.snapshotDeadline) {
+	base := max(p.match, m.GetIndex())
+	if n.now.Before(p.snapshotDeadline) || n.now.Before(p.probeDeadline) && base >= p.base {
 		return
 	}
-	p.next = max(p.match, m.GetIndex()) + 1
+	p.base, p.next = base, base+1
+	p.probing, p.probeDeadline = false, n.now.Add(n.options.HeartbeatInterval/2)
 	n.send(m.GetFrom(), p, true)
+	p.probing = true
 }
 
 // commitQuorum commits the entries that are on the disks of a quorum, if the
