Keep one event for each key in the history for watches

Each change of a document adds its whole head part, so that 300 changes of a document with 2,000 routes keep some 80 MB, and a process that resumes its watch is sent all of them in one message.

Change: the history keeps the newest event of each key, and of a replaced one only its revision. A watch always gets all events up to the newest revision, so that it is not told less about where it arrives.

--- a/control/size_test.go
+++ b/control/size_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"runtime"
 	"testing"
 	"time"
 
@@ -26,8 +27,9 @@
 	openTimeout     = 10 * time.Second
 )
 
-// TestBytesBounded changes large documents many times. It guards against a log that is
-// bounded by its number of entries only, so that old documents fill the disk.
+// TestBytesBounded changes large documents many times. It guards against a log, and a
+// history for watches, that are bounded by their number of entries only, so that
+// documents fill the disk and the memory.
 func TestBytesBounded(t *testing.T) {
 	datadriven.Walk(t, filepath.Join("testdata", "size"), func(t *testing.T, path string) {
 		s := &sizeScript{t: t, folder: t.TempDir()}
@@ -59,6 +61,8 @@
 		return s.submit(routes, count)
 	case "folder":
 		return compareMegabytes(d, s.t, s.folderBytes())
+	case "heap":
+		return compareMegabytes(d, s.t, heapBytes())
 	default:
 		s.t.Fatalf("unknown command %s", d.Cmd)
 	}
@@ -157,6 +161,14 @@
 	return total
 }
 
+// heapBytes returns the size of what is in use on the heap.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // compareMegabytes compares a size with the argument below, in mebibytes.
 func compareMegabytes(d *datadriven.TestData, t *testing.T, size int64) string {
 	var below int64
--- a/state/history.go
+++ b/state/history.go
@@ -7,22 +7,46 @@
 	controlv1 "ebonyreel/proto/control/v1"
 )
 
-// history is the buffer of recent events that all watchers share.
+// history is the buffer of recent events that all watchers share. Of the events of
+// one key it keeps the newest, as a watcher always gets all events up to the newest
+// revision.
 type history struct {
-	// limit is the maximum number of events kept.
+	// limit is the maximum number of events kept, replaced ones included.
 	limit int
-	// events is in ascending order of revision.
+	// events is in ascending order of revision. One that a newer event of its key
+	// has replaced has no key and no item.
 	events []*controlv1.Event
+	// newest maps a key to the revision of its event in events.
+	newest map[string]uint64
 	// compacted is the newest revision whose event is no longer kept.
 	compacted uint64
 }
 
 func (h *history) add(e *controlv1.Event) {
+	if h.newest == nil {
+		h.newest = map[string]uint64{}
+	}
+	if revision, ok := h.newest[e.GetKey()]; ok {
+		h.events[h.search(revision)] = &controlv1.Event{Revision: revision}
+	}
+	h.newest[e.GetKey()] = e.GetRevision()
 	h.events = append(h.events, e)
-	if over := len(h.events) - h.limit; over > 0 {
-		h.compacted = h.events[over-1].GetRevision()
-		h.events = append(h.events[:0:0], h.events[over:]...)
+	over := len(h.events) - h.limit
+	if over <= 0 {
+		return
+	}
+	for _, o := range h.events[:over] {
+		h.compacted = o.GetRevision()
+		if h.newest[o.GetKey()] == o.GetRevision() {
+			delete(h.newest, o.GetKey())
+		}
 	}
+	h.events = append(h.events[:0:0], h.events[over:]...)
+}
+
+// search returns the position of the first event from a revision on.
+func (h *history) search(from uint64) int {
+	return sort.Search(len(h.events), func(i int) bool { return h.events[i].GetRevision() >= from })
 }
 
 // Range selects the keys that start with Prefix but not with ExcludedPrefix. An
@@ -43,10 +67,9 @@
 	if from <= h.compacted {
 		return nil, &CompactedError{Compacted: h.compacted}
 	}
-	start := sort.Search(len(h.events), func(i int) bool { return h.events[i].GetRevision() >= from })
 	var out []*controlv1.Event
-	for _, e := range h.events[start:] {
-		if r.contains(e.GetKey()) {
+	for _, e := range h.events[h.search(from):] {
+		if e.GetKey() != "" && r.contains(e.GetKey()) {
 			out = append(out, e)
 		}
 	}
