Bound what waits for a control host's disk in bytes, and drop what nobody waits for

An operator sends a change that got no answer again, eight at a time and each second, so that half a minute with a full disk piles up some hundreds of megabytes; then all of them are written, long after their callers gave up. Messages of the other hosts wait there too. A leader whose quorum is slow appends without a bound.

Change: commands and messages that wait are bounded by 16 MiB, beyond one of them, and refused as busy above it; reads and joins have no size and are not refused. Entries that no quorum has acknowledged are bounded by 16 MiB. A proposal whose caller no longer waits is not proposed.

--- a/control/inputs.go
+++ b/control/inputs.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -14,12 +15,23 @@
 
 // proposal asks for a command to be committed and applied.
 type proposal struct {
+	// done is closed when the caller no longer waits. After that the command is not
+	// proposed.
+	done    <-chan struct{}
 	command *controlv1.Command
 	// reply has room for the one result.
 	reply chan commandResult
 }
 
+func (p *proposal) bytes() int { return proto.Size(p.command) }
+
 func (p *proposal) handle(l *loop, now time.Time) {
+	select {
+	case <-p.done:
+		p.reply <- commandResult{err: context.Canceled}
+		return
+	default:
+	}
 	if !l.acceptsCommands() {
 		p.reply <- commandResult{err: &NotReadyError{}}
 		return
@@ -30,6 +42,10 @@
 		p.reply <- commandResult{err: err}
 		return
 	}
+	if l.node.UncommittedBytes() >= maxUncommittedBytes {
+		p.reply <- commandResult{err: &replica.BusyError{Reason: "too many commands wait for a quorum"}}
+		return
+	}
 	index, term, err := l.node.Propose(now, b)
 	if err != nil {
 		p.reply <- commandResult{err: l.withLeaderAddress(err)}
@@ -82,6 +98,8 @@
 	reply chan error
 }
 
+func (*readRequest) bytes() int { return 0 }
+
 func (r *readRequest) handle(l *loop, now time.Time) {
 	l.lastReadNumber++
 	if err := l.node.Read(now, l.lastReadNumber); err != nil {
@@ -96,6 +114,8 @@
 	request *replicav1.DeliverRequest
 }
 
+func (d *delivery) bytes() int { return proto.Size(d.request) }
+
 func (d *delivery) handle(l *loop, now time.Time) {
 	l.peers.learnServer(d.request.GetId(), d.request.GetName(), d.request.GetAddress())
 	for _, m := range d.request.GetMessages() {
@@ -117,6 +137,8 @@
 	err   error
 }
 
+func (*joinRequest) bytes() int { return 0 }
+
 func (j *joinRequest) handle(l *loop, now time.Time) {
 	r := j.request
 	if !l.peers.mayJoin(r.GetName()) {
@@ -153,6 +175,8 @@
 // nothing if the host already has a configuration.
 type bootstrapRequest struct{}
 
+func (bootstrapRequest) bytes() int { return 0 }
+
 func (bootstrapRequest) handle(l *loop, now time.Time) {
 	if l.empty(now) {
 		l.node.Bootstrap(l.peers.self.Name, l.peers.self.Address.String())
@@ -171,6 +195,8 @@
 	reply chan error
 }
 
+func (*transferRequest) bytes() int { return 0 }
+
 func (t *transferRequest) handle(l *loop, now time.Time) {
 	t.reply <- l.node.Transfer(now)
 }
--- a/control/loop.go
+++ b/control/loop.go
@@ -22,10 +22,8 @@
 	firstElectionTimeout = 500 * time.Millisecond
 	heartbeatInterval    = 100 * time.Millisecond
 	tickInterval         = 25 * time.Millisecond
-	// maxQueuedInputs is the number of inputs that may wait for the loop, and
-	// maxBatchInputs the number of them that may share one disk sync.
-	maxQueuedInputs = 4096
-	maxBatchInputs  = 1024
+	// maxBatchInputs is the number of inputs that may share one disk sync.
+	maxBatchInputs = 1024
 	// maxAppendBytes bounds the entries of one append message, beyond the first.
 	maxAppendBytes = 1 << 20
 	// diskFullRetryInterval is the time between attempts to write to a full disk.
@@ -43,17 +41,14 @@
 	snapshotRetryInterval = time.Second
 	// maxInFlightBytes bounds the entries that another host has not acknowledged.
 	maxInFlightBytes = 8 << 20
+	// maxUncommittedBytes bounds the entries that no quorum has acknowledged.
+	maxUncommittedBytes = 16 << 20
 )
 
 // retained bounds the entries that a snapshot covers and that are kept for slow
 // followers.
 var retained = replica.Retention{Entries: 2_000, Bytes: 2 << 20}
 
-// input is a request or message that the loop handles.
-type input interface {
-	handle(l *loop, now time.Time)
-}
-
 // commandResult is the result of a proposed command.
 type commandResult struct {
 	response proto.Message
@@ -115,8 +110,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-		case in := <-l.store.inputs:
-			in.handle(l, time.Now())
+		case q := <-l.store.inputs.waiting:
+			l.handle(q)
 			l.handleQueued()
 		case err := <-l.snapshotDone():
 			if err := l.finishSnapshot(err); err != nil {
@@ -136,14 +131,19 @@
 func (l *loop) handleQueued() {
 	for range maxBatchInputs {
 		select {
-		case in := <-l.store.inputs:
-			in.handle(l, time.Now())
+		case q := <-l.store.inputs.waiting:
+			l.handle(q)
 		default:
 			return
 		}
 	}
 }
 
+func (l *loop) handle(q queuedInput) {
+	l.store.inputs.remove(q)
+	q.input.handle(l, time.Now())
+}
+
 // processReady carries out the effects of the replica until there are none.
 func (l *loop) processReady(ctx context.Context) error {
 	for {
--- a/control/replica.go
+++ b/control/replica.go
@@ -34,7 +34,7 @@
 
 // Deliver queues replication messages of another control host.
 func (r *ReplicaServer) Deliver(_ context.Context, q *connect.Request[replicav1.DeliverRequest]) (*connect.Response[replicav1.DeliverResponse], error) {
-	if err := r.store.enqueue(&delivery{request: q.Msg}); err != nil {
+	if err := r.store.inputs.add(&delivery{request: q.Msg}); err != nil {
 		return nil, toConnectError(err)
 	}
 	return connect.NewResponse(&replicav1.DeliverResponse{}), nil
@@ -44,7 +44,7 @@
 // synced. The host repeats the call until it is a voter.
 func (r *ReplicaServer) Join(ctx context.Context, q *connect.Request[replicav1.JoinRequest]) (*connect.Response[replicav1.JoinResponse], error) {
 	reply := make(chan joinResult, 1)
-	if err := r.store.enqueue(&joinRequest{request: q.Msg, reply: reply}); err != nil {
+	if err := r.store.inputs.add(&joinRequest{request: q.Msg, reply: reply}); err != nil {
 		return nil, toConnectError(err)
 	}
 	select {
@@ -81,7 +81,7 @@
 		switch {
 		case st.Voter && s.HasContact():
 		case st.Empty && s.mayBootstrap && s.peers.isBootstrapHost() && s.othersEmpty(ctx):
-			_ = s.enqueue(bootstrapRequest{})
+			_ = s.inputs.add(bootstrapRequest{})
 		default:
 			s.requestJoin(ctx)
 		}
@@ -137,7 +137,7 @@
 	defer cancel()
 	for s.Status().Leads && len(s.peers.otherAddresses()) > 0 {
 		t := &transferRequest{reply: make(chan error, 1)}
-		if s.enqueue(t) != nil {
+		if s.inputs.add(t) != nil {
 			return
 		}
 		select {
--- a/control/store.go
+++ b/control/store.go
@@ -75,7 +75,7 @@
 	// mayBootstrap is true if this host may bootstrap a new log.
 	mayBootstrap bool
 	peers        *peers
-	inputs       chan input
+	inputs       *inputQueue
 	loop         *loop
 	// droppedMessages counts messages for hosts that were unknown or whose queues
 	// were full.
@@ -126,7 +126,7 @@
 		minInitialVoters:  minInitialVoters(s),
 		mayBootstrap:      len(s.Cluster) > 0 || s.Bootstrap,
 		peers:             newPeers(content.ID, s, h, options...),
-		inputs:            make(chan input, maxQueuedInputs),
+		inputs:            newInputQueue(),
 		state:             state.New(s.WatchHistory),
 		lastAnnouncements: map[string]lastAnnouncement{},
 		memberReports:     map[string]memberReport{},
@@ -171,23 +171,12 @@
 	return s.loop.run(ctx)
 }
 
-// enqueue queues an input for the loop. The error is a *replica.BusyError if the
-// queue is full.
-func (s *Store) enqueue(in input) error {
-	select {
-	case s.inputs <- in:
-		return nil
-	default:
-		return &replica.BusyError{Reason: "too many inputs wait"}
-	}
-}
-
 // Propose commits and applies a command, and returns its response. The error is
 // a *NotLeaderError on a host that does not lead. After an error of the
 // replication the command may still take effect, and it may be proposed again.
 func (s *Store) Propose(ctx context.Context, c *controlv1.Command) (proto.Message, error) {
-	p := &proposal{command: c, reply: make(chan commandResult, 1)}
-	if err := s.enqueue(p); err != nil {
+	p := &proposal{done: ctx.Done(), command: c, reply: make(chan commandResult, 1)}
+	if err := s.inputs.add(p); err != nil {
 		return nil, err
 	}
 	select {
@@ -203,7 +192,7 @@
 // Confirm returns nil once a quorum has confirmed that the state is current.
 func (s *Store) Confirm(ctx context.Context) error {
 	r := &readRequest{reply: make(chan error, 1)}
-	if err := s.enqueue(r); err != nil {
+	if err := s.inputs.add(r); err != nil {
 		return err
 	}
 	select {
--- a/replica/ready.go
+++ b/replica/ready.go
@@ -91,6 +91,11 @@
 	return n.log.size(after, to)
 }
 
+// UncommittedBytes returns the size of the entries that are not committed yet.
+func (n *Node) UncommittedBytes() int {
+	return n.log.size(n.commit, n.log.lastIndex())
+}
+
 // Retained returns the entries of the log that are on this disk.
 func (n *Node) Retained() []*replicav1.Entry {
 	return n.log.entriesBetween(n.log.offset, n.stable)
