Take a resumed stream without events that ends with its connection as broken off

What callers saw: a stream broke off after some events, the next endpoint answered 200 without a length or chunks, crashed before its first event and closed the connection; the caller's stream ended there as if it were complete (a report of other operators).

Cause: an answer that has no frame ends with its connection. Without any event that is a crash, but this was checked for streams from their start only, as the ID of the last event stood for the events of the attempt.

Change: the events of the attempt decide. A caller who resumes a stream of which nothing was left, at an endpoint that frames nothing, is told that the outcome is unknown: the two can't be told apart, and a stream must not look complete when it isn't.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -46,7 +46,7 @@
 	for {
 		event, err := reader.next()
 		if errors.Is(err, io.EOF) {
-			if reply.Unframed && cs.lastEvent == "" {
+			if reply.Unframed && cs.attemptEvents == 0 {
 				// The endpoint crashed before its first event.
 				return latency, io.ErrUnexpectedEOF
 			}
