Refuse calls that come after an entry has begun to close, and don't wait for control

Cause: two ways to arrive late. After 2.5 s the entry refused new streams only, and its server serves what arrives on connections that are not idle: the first request of a connection that was opened ahead, and one whose body comes slowly. And it left the membership before it closed its servers: while control did not answer, that took up to 6 s, in which kept connections were served as ever.

Change: after 2.5 s all new calls are refused as not run, with 10 ms until they may be sent to another entry, and the servers close at once; the membership is left at the same time, within 2 s.

--- a/cmd/entry/command.go
+++ b/cmd/entry/command.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/sirupsen/logrus"
@@ -24,6 +25,9 @@
 	"ebonyreel/transport"
 )
 
+// leaveTimeout bounds the removal of an entry from the membership.
+const leaveTimeout = 2 * time.Second
+
 func newCommand() *cobra.Command {
 	var file string
 	c := &cobra.Command{
@@ -126,17 +130,31 @@
 	case <-stopping.Done():
 	}
 	front.stop(ctx)
+	// Control may not answer, and must not keep the servers open.
+	left := leave(ctx, announcer, log)
 	log.Info("closing each connection once its response has ended")
-	if err := announcer.Leave(ctx, true); err != nil {
-		log.WithError(err).Warn("leave failed, the lease will lapse")
-	}
-	log.Info("left the membership")
 	process.Shutdown(log, servers...)
+	<-left
 	log.Info("stopped")
 	r.decisions.Close()
 	return r.tracer.Close(ctx)
 }
 
+// leave removes the entry from the membership in the background. The returned channel is
+// closed once it is removed, or at the latest after leaveTimeout.
+func leave(ctx context.Context, a *controls.Announcer, log *logrus.Entry) <-chan struct{} {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	go func() {
+		defer cancel()
+		if err := a.Leave(ctx, true); err != nil {
+			log.WithError(err).Warn("leave failed, the lease will lapse")
+			return
+		}
+		log.Info("left the membership")
+	}()
+	return ctx.Done()
+}
+
 // newView returns the view of an entry. A change of the document has to be in force
 // sooner on the platform.
 func newView(c *controls.Client, s settings.Entry, security *process.Security, log *logrus.Entry) *controls.View {
--- a/proof/platform_limit_test.go
+++ b/proof/platform_limit_test.go
@@ -73,18 +73,11 @@
 	h.putConfigurationBody(t, 0, []byte(platformConfiguration))
 	services := []*limitedService{{name: "i-1", limited: true}, {name: "i-2"}}
 	for _, l := range services {
-		startLimitedService(t, l, c.controls)
+		startDeskService(t, l.name, l, c.controls)
 	}
 	entries := []*process{startPlatformEntry(c, "entry-0"), startPlatformEntry(c, "entry-1")}
 	for _, e := range entries {
-		eventually(t, 15*time.Second, e.name+" is ready", func() bool {
-			res, err := http.Get("http://" + e.operators.String() + "/readiness")
-			if err != nil {
-				return false
-			}
-			_ = res.Body.Close()
-			return res.StatusCode == http.StatusOK
-		})
+		awaitReady(t, e)
 	}
 	limited := services[0]
 	callUntil(t, entries[0], limitMergeTime)
@@ -102,6 +95,19 @@
 	}
 }
 
+// awaitReady waits until an entry on the users' platform is ready.
+func awaitReady(t *testing.T, e *process) {
+	t.Helper()
+	eventually(t, 15*time.Second, e.name+" is ready", func() bool {
+		res, err := http.Get("http://" + e.operators.String() + "/readiness")
+		if err != nil {
+			return false
+		}
+		_ = res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	})
+}
+
 // callUntil makes calls to an entry for some time.
 func callUntil(t *testing.T, entry *process, length time.Duration) {
 	t.Helper()
@@ -136,8 +142,9 @@
 	}
 }
 
-// startLimitedService starts a service that announces itself until the test ends.
-func startLimitedService(t *testing.T, s *limitedService, controls []netip.AddrPort) {
+// startDeskService starts a service of the pool desk that announces itself until the test
+// ends.
+func startDeskService(t *testing.T, name string, s http.Handler, controls []netip.AddrPort) {
 	t.Helper()
 	address := ports.Free()
 	l, err := net.Listen("tcp", address.String())
@@ -147,7 +154,7 @@
 	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
-	announceService(t.Context(), t, announcedEndpoint{service: "desk", name: s.name, address: address, born: time.Now(), version: "v1"}, controls)
+	announceService(t.Context(), t, announcedEndpoint{service: "desk", name: name, address: address, born: time.Now(), version: "v1"}, controls)
 }
 
 // announceService announces an endpoint in the background until the context ends.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -106,8 +106,8 @@
 	streams Streams
 	// quotas are those of client accounts; nil for none.
 	quotas Quotas
-	// draining is true once new streams are refused, as they may last longer than
-	// the process.
+	// draining is true once new calls are refused, as they may last longer than the
+	// process.
 	draining atomic.Bool
 	// inFlight is the number of calls in flight.
 	inFlight atomic.Int64
@@ -124,7 +124,7 @@
 	}
 }
 
-// Drain makes the relay refuse new streams. Other calls are still served.
+// Drain makes the relay refuse new calls. Those in flight are still served.
 func (r *Relay) Drain() {
 	r.draining.Store(true)
 }
@@ -134,6 +134,10 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	cs := &callState{call: c, answer: a, lastEvent: c.LastEvent, attempted: map[string]bool{}, record: r.decisions.Begin(c.ID, c.Arrived)}
+	if r.draining.Load() {
+		r.refuse(cs, Refusal{Reason: Stopping, RetryAfter: stoppingRetryAfter}, nil)
+		return
+	}
 	d := r.document(ctx, c)
 	if d == nil {
 		r.refuse(cs, Refusal{Reason: Unready, RetryAfter: unreadyRetryAfter}, nil)
@@ -149,10 +153,6 @@
 		r.refuse(cs, Refusal{Reason: UnknownKey}, err)
 		return
 	}
-	if cs.route.Kind == document.KindStream && r.draining.Load() {
-		r.refuse(cs, Refusal{Reason: Stopping, RetryAfter: stoppingRetryAfter}, nil)
-		return
-	}
 	if r.contentBlocked(c) {
 		r.refuse(cs, Refusal{Reason: Crashing, RetryAfter: crashingRetryAfter}, nil)
 		return
