Read the write-ahead log record by record

A folder that the earlier program filled to 128 MB needs more than the 280 MB of its host, and the host ends again and again before it can make the log shorter.

--- a/writeahead/files.go
+++ b/writeahead/files.go
@@ -107,20 +107,33 @@
 // because a snapshot alone has no term and vote.
 func readFolder(folder string) (*Content, int64, error) {
 	c := &Content{}
-	b, err := readFile(folder, segmentFile)
-	if err != nil || b == nil {
-		return c, 0, err
+	f, err := os.Open(filepath.Join(folder, segmentFile))
+	if errors.Is(err, fs.ErrNotExist) {
+		return c, 0, nil
 	}
-	records, size, err := decodeSegment(b, readSyncedLength(folder))
 	if err != nil {
-		return nil, 0, err
+		return nil, 0, errorx.Decorate(err, "open segment")
 	}
-	if c.Snapshot, c.ID, err = readSnapshot(folder); err != nil {
+	defer func() { _ = f.Close() }()
+	snapshot, id, err := readSnapshot(folder)
+	if err != nil {
 		return nil, 0, err
 	}
-	if err := c.addRecords(records); err != nil {
+	c.Snapshot = snapshot
+	info, err := f.Stat()
+	if err != nil {
+		return nil, 0, errorx.Decorate(err, "read length of segment")
+	}
+	size, err := readSegment(f, info.Size(), readSyncedLength(folder), c.addRecord)
+	if err != nil {
 		return nil, 0, err
 	}
+	if c.ID == "" {
+		return nil, 0, &CorruptionError{File: segmentFile, Reason: "the server ID is missing"}
+	}
+	if id != "" && id != c.ID {
+		return nil, 0, &CorruptionError{File: snapshotFile, Reason: "it belongs to another server"}
+	}
 	return c, size, nil
 }
 
@@ -136,25 +149,20 @@
 	return f.GetSnapshot(), f.GetId(), nil
 }
 
-// addRecords adds the records of a segment to the content. An entry replaces all
-// earlier ones from its index on.
-func (c *Content) addRecords(records []*replicav1.Record) error {
-	if len(records) == 0 || records[0].GetId() == "" {
-		return &CorruptionError{File: segmentFile, Reason: "the server ID is missing"}
-	}
-	if c.ID != "" && c.ID != records[0].GetId() {
-		return &CorruptionError{File: snapshotFile, Reason: "it belongs to another server"}
-	}
-	c.ID = records[0].GetId()
-	for _, r := range records[1:] {
-		if s := r.GetState(); s != nil {
-			c.State = s
-		}
-		if e := r.GetEntry(); e != nil {
-			if err := c.addEntry(e); err != nil {
-				return err
-			}
+// addRecord adds a record of a segment to the content. The first one must have the
+// server ID.
+func (c *Content) addRecord(r *replicav1.Record) error {
+	if c.ID == "" {
+		if c.ID = r.GetId(); c.ID == "" {
+			return &CorruptionError{File: segmentFile, Reason: "the server ID is missing"}
 		}
+		return nil
+	}
+	if s := r.GetState(); s != nil {
+		c.State = s
+	}
+	if e := r.GetEntry(); e != nil {
+		return c.addEntry(e)
 	}
 	return nil
 }
--- a/writeahead/records.go
+++ b/writeahead/records.go
@@ -1,8 +1,12 @@
 package writeahead
 
 import (
+	"bufio"
 	"encoding/binary"
+	"errors"
 	"hash/crc32"
+	"io"
+	"slices"
 
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
@@ -66,24 +70,67 @@
 	return r, length, binary.LittleEndian.Uint64(b[lengthBytes+checksumBytes:]), true
 }
 
-// decodeSegment returns the intact records at the start of a segment, and their
-// length in bytes. The bytes after them were never synced. The error is a
-// *CorruptionError if a record before a synced length is damaged.
-func decodeSegment(b []byte, syncedLength uint64) ([]*replicav1.Record, int64, error) {
-	var out []*replicav1.Record
-	length := 0
-	for length < len(b) {
-		r, recordLength, _, ok := decodeRecord(b[length:])
+// readSegment passes the intact records at the start of a segment of size bytes to add,
+// one at a time, and returns their length in bytes. The bytes after them were never
+// synced. The error is that of add or of reading, or a *CorruptionError if a record before
+// a synced length is damaged.
+func readSegment(f io.Reader, size int64, syncedLength uint64, add func(*replicav1.Record) error) (int64, error) {
+	in := bufio.NewReader(f)
+	length := int64(0)
+	var buffer []byte
+	for {
+		b, err := readRecord(in, size-length, buffer)
+		if err != nil {
+			return 0, err
+		}
+		r, recordLength, _, ok := decodeRecord(b)
 		if !ok {
-			break
+			return length, checkTail(in, b, length, syncedLength)
+		}
+		if err := add(r); err != nil {
+			return 0, err
 		}
-		out = append(out, r)
-		length += recordLength
+		length += int64(recordLength)
+		buffer = b[:0]
+	}
+}
+
+// readRecord reads the bytes of a record into a buffer, of which remaining bytes are left
+// in the segment. Where the record does not fit, it returns no more than the header.
+func readRecord(in io.Reader, remaining int64, buffer []byte) ([]byte, error) {
+	b, err := readUpTo(in, buffer, headerBytes)
+	if err != nil || len(b) < headerBytes {
+		return b, err
+	}
+	size := binary.LittleEndian.Uint32(b)
+	if int64(size) > remaining-headerBytes {
+		return b, nil
+	}
+	return readUpTo(in, b, int(size))
+}
+
+// readUpTo appends n bytes to b, or fewer at the end of the input.
+func readUpTo(in io.Reader, b []byte, n int) ([]byte, error) {
+	start := len(b)
+	b = slices.Grow(b, n)[:start+n]
+	read, err := io.ReadFull(in, b[start:])
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		err = nil
+	}
+	return b[:start+read], err
+}
+
+// checkTail returns a *CorruptionError if the bytes from a damaged record on were synced.
+// The segment has length bytes before that record, of which b are the first ones.
+func checkTail(in io.Reader, b []byte, length int64, syncedLength uint64) error {
+	rest, err := io.ReadAll(in)
+	if err != nil {
+		return err
 	}
-	if uint64(length) < max(syncedLength, syncedAfter(b, length)) {
-		return nil, 0, &CorruptionError{File: segmentFile, Reason: "a synced record is damaged"}
+	if uint64(length) < max(syncedLength, syncedAfter(append(b, rest...), 0)) {
+		return &CorruptionError{File: segmentFile, Reason: "a synced record is damaged"}
 	}
-	return out, int64(length), nil
+	return nil
 }
 
 // syncedAfter searches the bytes after from, where a damaged record starts, for
