Bound the documents of an environment's history in bytes

Change: beyond the newest one, documents of 16 MiB together are kept, as they were sent and as they were resolved, within the number that the retention says. Documents of up to 40 kB each way are kept as before by the default. While programs of both versions run they may keep another number of old documents; what is in force does not depend on it.

Test: TestDocumentHistoryBounded: 30 documents of 3 MiB and of 17 MiB were all kept before; 6 and 1 are kept after.

--- a/state/document.go
+++ b/state/document.go
@@ -11,6 +11,10 @@
 	controlv1 "ebonyreel/proto/control/v1"
 )
 
+// maxDocumentBytes bounds the documents that are kept in the history of an environment,
+// beyond the newest one.
+const maxDocumentBytes = 16 << 20
+
 // DocumentKey returns the key under which an environment's document is published.
 func DocumentKey(environment string) string {
 	return environment + "/Document"
@@ -80,16 +84,28 @@
 }
 
 // appendDocument appends a document to the history, which it trims to the
-// document's retention.
+// document's retention and to maxDocumentBytes.
 func (s *State) appendDocument(d *controlv1.Document, r document.Retention) {
 	accepted := append(s.documents[d.GetEnvironment()], d)
-	if over := len(accepted) - r.Documents; over > 0 {
+	if over := max(len(accepted)-r.Documents, documentsOver(accepted)); over > 0 {
 		accepted = append(accepted[:0:0], accepted[over:]...)
 	}
 	s.documents[d.GetEnvironment()] = accepted
 	s.retentions[d.GetEnvironment()] = r
 }
 
+// documentsOver returns the number of the oldest documents that exceed maxDocumentBytes
+// with those after them. The newest one does not count.
+func documentsOver(accepted []*controlv1.Document) int {
+	size := 0
+	for i := len(accepted) - 2; i >= 0; i-- {
+		if size += len(accepted[i].GetResolved()) + len(accepted[i].GetSource()); size > maxDocumentBytes {
+			return i + 1
+		}
+	}
+	return 0
+}
+
 // publishDocument publishes the parts that differ from the previous document,
 // and then the document itself without its bytes.
 func (s *State) publishDocument(d *controlv1.Document, parts []document.Part) {
