--- a/control/peers.go
+++ b/control/peers.go
@@ -188,6 +188,17 @@
 	return out
 }
 
+// queuedBytes returns the size of the messages that wait for all hosts.
+func (p *peers) queuedBytes() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := int64(0)
+	for _, h := range p.hosts {
+		out += h.queuedBytes.Load()
+	}
+	return out
+}
+
 // isBootstrapHost reports whether this host is the one that bootstraps the log:
 // the first one listed in the settings, or the first seed where none are listed.
 func (p *peers) isBootstrapHost() bool {
--- a/control/store.go
+++ b/control/store.go
@@ -55,6 +55,10 @@
 	// Term is the current term, and Commit the index of the last committed entry.
 	Term   uint64
 	Commit uint64
+	// LogBytes is the size of the log in memory, and SnapshotBytes that of the newest
+	// snapshot.
+	LogBytes      int
+	SnapshotBytes int
 	// lastContact is when the host last had contact with the leader or, while it
 	// leads, with a quorum.
 	lastContact time.Time
@@ -266,7 +270,7 @@
 	s.status = Status{
 		Leads: leads, Leader: s.peers.hostName(r.Leader), Address: leader, Empty: len(r.Configuration.GetServers()) == 0,
 		Voter: s.isVoter(r.Configuration), Servers: voterNames(r.Configuration), Controls: s.hostAddresses(r.Configuration),
-		Term: r.Term, Commit: r.Commit, lastContact: lastContact,
+		Term: r.Term, Commit: r.Commit, LogBytes: r.LogBytes, SnapshotBytes: r.SnapshotBytes, lastContact: lastContact,
 	}
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -287,12 +287,17 @@
 	// quorum, within the election timeout.
 	HasContact    bool
 	Configuration *replicav1.Configuration
+	// LogBytes is the size of the entries in memory, and SnapshotBytes that of the
+	// state in the newest snapshot.
+	LogBytes      int
+	SnapshotBytes int
 }
 
 // Status returns the status of the node at a time.
 func (n *Node) Status(now time.Time) Status {
 	s := Status{
 		Role: n.role, Leader: n.leader, Term: n.state.GetTerm(), Commit: n.commit, Configuration: n.configuration,
+		LogBytes: n.log.size(0, n.log.lastIndex()), SnapshotBytes: len(n.log.snapshot.GetState()),
 	}
 	n.advanceClock(now)
 	if n.role == Leader {
--- a/writeahead/records.go
+++ b/writeahead/records.go
@@ -146,12 +146,12 @@
 }
 
 func encodeSnapshot(id string, s *replicav1.Snapshot) ([]byte, error) {
-	content, err := proto.Marshal(&replicav1.SnapshotFile{Id: id, Snapshot: s})
+	b, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, checksumBytes), &replicav1.SnapshotFile{Id: id, Snapshot: s})
 	if err != nil {
 		return nil, errorx.Decorate(err, "encode snapshot")
 	}
-	b := binary.LittleEndian.AppendUint32(nil, checksum(content))
-	return append(b, content...), nil
+	binary.LittleEndian.PutUint32(b, checksum(b[checksumBytes:]))
+	return b, nil
 }
 
 func decodeSnapshot(b []byte) (*replicav1.SnapshotFile, error) {
