--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -144,6 +144,12 @@
 
 // startPlatformHosts starts three control hosts that find each other through seeds.
 func startPlatformHosts(c *cluster) *hosts {
+	c.t.Helper()
+	return startPlatformHostsWithin(c, 0)
+}
+
+// startPlatformHostsWithin does the same with hosts of some mebibytes of memory.
+func startPlatformHostsWithin(c *cluster, megabytes int) *hosts {
 	c.t.Helper()
 	h := &hosts{cluster: c}
 	var seeds []netip.AddrPort
@@ -152,7 +158,9 @@
 		seeds = append(seeds, h.processes[i].address)
 	}
 	for _, p := range h.processes {
-		c.start(p, seedSettings(c, p, seeds, true))
+		s := seedSettings(c, p, seeds, true)
+		s.MemoryMegabytes = megabytes
+		c.start(p, s)
 	}
 	c.controls = seeds
 	eventually(c.t, 15*time.Second, "all hosts are voters", func() bool { return len(h.status(h.leader()).Servers) == 3 })
