--- a/proof/control_large_documents_test.go
+++ b/proof/control_large_documents_test.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
 	"os"
 	"strings"
 	"testing"
@@ -56,20 +54,6 @@
 	}
 }
 
-// readConfiguration returns the configuration that a host answers, or nil.
-func (h *hosts) readConfiguration(i int) []byte {
-	res, err := http.Get(h.configurationURL(i))
-	if err != nil {
-		return nil
-	}
-	defer func() { _ = res.Body.Close() }()
-	b, err := io.ReadAll(res.Body)
-	if err != nil || res.StatusCode != http.StatusOK {
-		return nil
-	}
-	return b
-}
-
 // largeConfiguration returns a configuration with largeRoutes routes.
 func largeConfiguration(version int) []byte {
 	type route struct {
--- a/proof/control_seeds_test.go
+++ b/proof/control_seeds_test.go
@@ -100,13 +100,8 @@
 	t.Helper()
 	for i, p := range h.processes {
 		eventually(t, 10*time.Second, p.name+" answers", func() bool {
-			res, err := http.Get(h.configurationURL(i))
-			if err != nil {
-				return false
-			}
-			defer func() { _ = res.Body.Close() }()
-			b, err := io.ReadAll(res.Body)
-			if err != nil || res.StatusCode != http.StatusOK {
+			b := h.readConfiguration(i)
+			if b == nil {
 				return false
 			}
 			if !bytes.Equal(b, configuration(version)) {
@@ -117,6 +112,20 @@
 	}
 }
 
+// readConfiguration returns the configuration that a host answers, or nil.
+func (h *hosts) readConfiguration(i int) []byte {
+	res, err := http.Get(h.configurationURL(i))
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	if err != nil || res.StatusCode != http.StatusOK {
+		return nil
+	}
+	return b
+}
+
 func (h *hosts) configurationURL(i int) string {
 	return "http://" + h.processes[i].address.String() + "/config"
 }
