Record which document refused a call without a route

Operators saw `request ended` lines with the outcome no_route and DocumentNumber 0, next to others of the same entry that named document 1202. The number was set with the route, so that a refusal before that could not be told from one by an old document.

The number is now recorded as soon as a document is taken to judge the call, and again where a newer document has revoked its key. DocumentAgeMilliseconds tells how long that document had been in force at the entry; View.DocumentInForce returns both under one lock. The number stays 0 where no document judged the call (unready, stopping).

--- a/controls/view.go
+++ b/controls/view.go
@@ -398,6 +398,14 @@
 	return v.document
 }
 
+// DocumentInForce returns the document in force, or nil before the first one, and when it
+// came into force here.
+func (v *View) DocumentInForce() (*document.Document, time.Time) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.document, v.adoptedAt
+}
+
 // Metrics returns, for expvar, the number of the document in force, the revision,
 // the milliseconds since the document came into force here, and the milliseconds
 // since a watch last received a message.
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -47,6 +47,9 @@
 	Serves string `json:",omitempty"`
 	// DocumentNumber is the number of the document that was in force.
 	DocumentNumber uint64
+	// DocumentAgeMilliseconds is how long that document had been in force here when the
+	// request was judged by it.
+	DocumentAgeMilliseconds int64 `json:",omitempty"`
 	// PromptTokens, MaxOutput and ExpectedOutput are the sizes in tokens that the
 	// request declares.
 	PromptTokens   int `json:",omitempty"`
--- a/decision/logline.go
+++ b/decision/logline.go
@@ -54,7 +54,7 @@
 		}
 	}
 	numbers := map[string]int64{
-		"PromptTokens": int64(r.PromptTokens), "MaxOutput": int64(r.MaxOutput), "ExpectedOutput": int64(r.ExpectedOutput), "Full": int64(r.Full), "OverBudget": int64(r.OverBudget),
+		"DocumentAgeMilliseconds": r.DocumentAgeMilliseconds, "PromptTokens": int64(r.PromptTokens), "MaxOutput": int64(r.MaxOutput), "ExpectedOutput": int64(r.ExpectedOutput), "Full": int64(r.Full), "OverBudget": int64(r.OverBudget),
 		"FirstMilliseconds": r.FirstMilliseconds, "LongestGapMilliseconds": r.LongestGapMilliseconds, "RetryAfterMilliseconds": r.RetryAfterMilliseconds,
 	}
 	for name, v := range numbers {
--- a/decision/logline_test.go
+++ b/decision/logline_test.go
@@ -21,6 +21,7 @@
 	r := l.Begin("r-1", time.Now())
 	r.Describe("", "engines", 7)
 	r.Update(func(d *Record) { d.Route, d.PromptTokens, d.ExpectedOutput, d.Full = "deeds", 3000, 70, 2 })
+	r.Update(func(d *Record) { d.DocumentAgeMilliseconds = 250 })
 	r.Update(func(d *Record) { d.ResumedRequest, d.ResumedAfter = "r-0", "12" })
 	r.SetPromptParts([]string{"5c1e07a2", "91bd3f06"})
 	r.AddChoice(Choice{Attempt: 1, Role: "Decode", Members: 6, Candidates: []Candidate{{Name: "d-0", Known: true, Running: 3}}, Chosen: "d-0", Version: "v1.2"})
--- a/relay/account.go
+++ b/relay/account.go
@@ -67,11 +67,12 @@
 	if cs.account.Name == "" {
 		return nil
 	}
-	d := r.fleet.Document()
+	d, since := r.fleet.DocumentInForce()
 	if d == nil || d.Number == cs.keyCheckedAt || !d.Requests.NeedKey {
 		return nil
 	}
 	if c, ok := d.CallerByKeyHash(cs.call.KeyHash); !ok || c.Name != cs.account.Name {
+		cs.recordDocument(d, since)
 		return &KeyError{Revoked: true}
 	}
 	cs.keyCheckedAt = d.Number
--- a/relay/crashing_part_test.go
+++ b/relay/crashing_part_test.go
@@ -95,7 +95,9 @@
 	}
 }
 
-func (c *crashingEngines) Document() *document.Document { return c.document }
+func (c *crashingEngines) DocumentInForce() (*document.Document, time.Time) {
+	return c.document, time.Time{}
+}
 
 func (c *crashingEngines) Entries() int { return crashEntries }
 
--- a/relay/record.go
+++ b/relay/record.go
@@ -4,15 +4,25 @@
 	"time"
 
 	"ebonyreel/decision"
+	"ebonyreel/document"
 	"ebonyreel/logs"
 	controlv1 "ebonyreel/proto/control/v1"
 )
 
-// recordCall records what a call asks for, and under which document.
+// recordDocument records the document by which a call is judged, and since when it has
+// been in force.
+func (cs *callState) recordDocument(d *document.Document, since time.Time) {
+	cs.documentNumber = d.Number
+	cs.record.Update(func(r *decision.Record) {
+		r.DocumentNumber, r.DocumentAgeMilliseconds = d.Number, time.Since(since).Milliseconds()
+	})
+}
+
+// recordCall records what a call asks for.
 func (r *Relay) recordCall(cs *callState) {
 	cs.record.Update(func(d *decision.Record) {
 		p := cs.call.Prompt
-		d.Route, d.Serves, d.DocumentNumber = cs.route.Name, cs.pool.Name, cs.documentNumber
+		d.Route, d.Serves = cs.route.Name, cs.pool.Name
 		d.Caller, d.Priority = cs.account.Name, cs.route.Priority
 		d.PromptTokens, d.MaxOutput, d.ExpectedOutput = p.Tokens, p.MaxOutput, p.ExpectedOutput
 		d.ResumedRequest, d.ResumedAfter = logs.Truncate(cs.call.ResumedRequest), logs.Truncate(cs.call.LastEvent)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -56,8 +56,9 @@
 
 // Fleet is the relay's view of the system. Its results must not be modified.
 type Fleet interface {
-	// Document returns the document in force, or nil before the first one.
-	Document() *document.Document
+	// DocumentInForce returns the document in force, or nil before the first one, and when
+	// it came into force here.
+	DocumentInForce() (*document.Document, time.Time)
 	// Endpoints returns the endpoints of a pool that take work or are lost.
 	Endpoints(pool string) []*controlv1.Endpoint
 	// Versions returns the software versions of the endpoints of a pool, with those that
@@ -138,12 +139,12 @@
 		r.refuse(cs, Refusal{Reason: Stopping, RetryAfter: stoppingRetryAfter}, nil)
 		return
 	}
-	d := r.document(ctx, c)
+	d, since := r.document(ctx, c)
 	if d == nil {
 		r.refuse(cs, Refusal{Reason: Unready, RetryAfter: unreadyRetryAfter}, nil)
 		return
 	}
-	cs.documentNumber = d.Number
+	cs.recordDocument(d, since)
 	var ok bool
 	if cs.route, ok = d.Route(c.Host, c.Path); !ok {
 		r.refuse(cs, Refusal{Reason: NoRoute}, nil)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -34,11 +34,11 @@
 	unconfirmed bool
 }
 
-func (f *staticFleet) Document() *document.Document {
+func (f *staticFleet) DocumentInForce() (*document.Document, time.Time) {
 	if time.Now().Before(f.documentAt) {
-		return nil
+		return nil, time.Time{}
 	}
-	return f.document
+	return f.document, f.documentAt
 }
 
 func (f *staticFleet) Changed() <-chan struct{} {
--- a/relay/route.go
+++ b/relay/route.go
@@ -8,11 +8,12 @@
 	"ebonyreel/document"
 )
 
-// document returns the document in force, or nil where none is known. A process
-// that has just started waits for it during a part of its caller's time.
-func (r *Relay) document(ctx context.Context, c *Call) *document.Document {
-	if d := r.fleet.Document(); d != nil {
-		return d
+// document returns the document in force, or nil where none is known, and when it came
+// into force. A process that has just started waits for it during a part of its caller's
+// time.
+func (r *Relay) document(ctx context.Context, c *Call) (*document.Document, time.Time) {
+	if d, since := r.fleet.DocumentInForce(); d != nil {
+		return d, since
 	}
 	wait := documentWait
 	if c.Timeout > 0 {
@@ -22,14 +23,14 @@
 	defer t.Stop()
 	for {
 		changed := r.fleet.Changed()
-		if d := r.fleet.Document(); d != nil {
-			return d
+		if d, since := r.fleet.DocumentInForce(); d != nil {
+			return d, since
 		}
 		select {
 		case <-ctx.Done():
-			return nil
+			return nil, time.Time{}
 		case <-t.C:
-			return nil
+			return nil, time.Time{}
 		case <-changed:
 		}
 	}
