Log who holds a recorded document, and how long control hosts wait and for what

The leader of its term logs `document recorded` once for each submitted document, with the voters that are known to have it on their disks; the host that answers the operator logs `document acknowledged`. `leadership changed` has a Reason. `input waited for long`, one a second at most, has the wait, the last wait for the disk and the longest call to another host. New metrics: Learners, SinceContactMilliseconds, InputWaitMilliseconds, LongestSaveMilliseconds, Deliveries, DeliveriesFailed, LongestDeliveryMilliseconds. The maxima cover a sliding minute, so that readers don't take them from each other. No decision depends on any of them.

go test -count=1 ./control ./replica ./relay ./decision ./logs ./controls ./platform passes. TestSubmissionsLogged checks one host; the lines and metrics of several hosts, and the warning, were not run.

--- a/control/gateway.go
+++ b/control/gateway.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
 
 	"ebonyreel/clock"
 	"ebonyreel/controls"
@@ -51,13 +52,22 @@
 		return err
 	}
 	command := &controlv1.Command{Kind: &controlv1.Command_Accept{Accept: d}}
-	return g.callLeader(ctx, func(ctx context.Context) error {
+	start := time.Now()
+	err = g.callLeader(ctx, func(ctx context.Context) error {
 		_, err := g.store.Propose(ctx, command)
 		return err
 	}, func(ctx context.Context, c controlv1connect.ControlServiceClient) error {
 		_, err := c.Submit(ctx, connect.NewRequest(r))
 		return err
 	})
+	if err == nil || IsSuperseded(err) {
+		s := g.store.Status()
+		g.store.loop.log.WithFields(logrus.Fields{
+			"Environment": d.GetEnvironment(), "Number": d.GetNumber(), "Superseded": err != nil, "Leader": s.Leader, "Term": s.Term,
+			"ElapsedMilliseconds": time.Since(start).Milliseconds(),
+		}).Info("document acknowledged")
+	}
+	return err
 }
 
 // Announce adds an endpoint, changes it, or renews its lease.
--- a/control/input_queue.go
+++ b/control/input_queue.go
@@ -29,11 +29,14 @@
 	waiting chan queuedInput
 	// size is the size of all that waits, in bytes.
 	size atomic.Int64
+	// waits are the times from add to remove.
+	waits recentMaximum
 }
 
 type queuedInput struct {
-	input input
-	bytes int64
+	input   input
+	bytes   int64
+	addedAt time.Time
 }
 
 func newInputQueue() *inputQueue {
@@ -42,7 +45,7 @@
 
 // add queues an input. The error is a *replica.BusyError if the queue is full.
 func (i *inputQueue) add(in input) error {
-	q := queuedInput{input: in, bytes: int64(in.bytes())}
+	q := queuedInput{input: in, bytes: int64(in.bytes()), addedAt: time.Now()}
 	if q.bytes > 0 && i.size.Load() >= maxQueuedInputBytes {
 		return &replica.BusyError{Reason: "too many bytes wait"}
 	}
@@ -56,7 +59,12 @@
 	}
 }
 
-// remove counts an input that was taken from waiting as handled.
-func (i *inputQueue) remove(q queuedInput) {
+// remove counts an input that was taken from waiting as handled, and returns how long it
+// has waited.
+func (i *inputQueue) remove(q queuedInput) time.Duration {
 	i.size.Add(-q.bytes)
+	now := time.Now()
+	wait := now.Sub(q.addedAt)
+	i.waits.observe(now, wait)
+	return wait
 }
--- a/control/loop.go
+++ b/control/loop.go
@@ -101,6 +101,10 @@
 	// leases to all members and endpoints.
 	leasesTerm uint64
 	lastStatus replica.Status
+	// lastDiskWait is how long the loop last waited for its disk, and lastWaitWarning when
+	// it last warned that an input had waited for long.
+	lastDiskWait    time.Duration
+	lastWaitWarning time.Time
 }
 
 // run handles inputs until the context ends. After an error the process must
@@ -143,7 +147,7 @@
 }
 
 func (l *loop) handle(q queuedInput) {
-	l.store.inputs.remove(q)
+	l.warnOfWait(l.store.inputs.remove(q))
 	q.input.handle(l, time.Now())
 }
 
@@ -173,6 +177,7 @@
 	if !r.MustSync() {
 		return nil
 	}
+	defer l.recordDiskWait(time.Now())
 	if err := l.retryWhileDiskFull(ctx, func() error { return l.saveSnapshot(r) }); err != nil {
 		return err
 	}
@@ -253,6 +258,7 @@
 			return err
 		}
 		result.response, result.err = l.store.apply(c)
+		l.logSubmission(e, c.GetAccept(), result)
 	}
 	if p, ok := l.pendingProposals[e.GetIndex()]; ok {
 		delete(l.pendingProposals, e.GetIndex())
@@ -285,7 +291,7 @@
 	changed := s.Term != l.lastStatus.Term || s.Leader != l.lastStatus.Leader
 	l.lastStatus = s
 	if changed {
-		l.log.WithFields(logrus.Fields{"Term": s.Term, "Role": s.Role.String(), "Leader": l.peers.hostName(s.Leader)}).Info("leadership changed")
+		l.log.WithFields(logrus.Fields{"Term": s.Term, "Role": s.Role.String(), "Leader": l.peers.hostName(s.Leader), "Reason": s.Reason}).Info("leadership changed")
 		l.failPending()
 	}
 	leads := s.Role == replica.Leader && l.node.Term(l.applied) == s.Term
@@ -293,7 +299,7 @@
 		l.leasesTerm = s.Term
 		l.store.grantLeases(now)
 	}
-	l.store.publishStatus(now, s, leads, l.peers.address(l.peers.hostName(s.Leader)))
+	l.store.publishStatus(now, s, leads, l.peers.address(l.peers.hostName(s.Leader)), l.heardAt(now))
 }
 
 // failPending fails all pending proposals and unconfirmed reads with a
@@ -394,6 +400,7 @@
 
 // replaceSegment starts a new segment with the entries that are still needed.
 func (l *loop) replaceSegment() error {
+	defer l.recordDiskWait(time.Now())
 	err := l.wal.ReplaceSegment(l.node.HardState(), l.node.Retained())
 	var full *writeahead.DiskFullError
 	if l.segmentOutdated = errors.As(err, &full); l.segmentOutdated {
--- a/control/peers.go
+++ b/control/peers.go
@@ -38,6 +38,8 @@
 	// id is the server ID of this host, and self its name and address.
 	id   string
 	self settings.ControlHost
+	// deliveries counts the Deliver calls to other hosts.
+	deliveries deliveryMetrics
 	// configured lists all hosts, this one included, if the settings do so;
 	// otherwise it is empty.
 	configured []settings.ControlHost
@@ -282,7 +284,9 @@
 		}
 		call, cancel := context.WithTimeout(ctx, deliverTimeout)
 		// The replica sends lost messages again.
-		_, _ = h.client.Deliver(call, connect.NewRequest(r))
+		start := time.Now()
+		_, err := h.client.Deliver(call, connect.NewRequest(r))
 		cancel()
+		p.deliveries.observe(start, err)
 	}
 }
--- a/control/store.go
+++ b/control/store.go
@@ -47,8 +47,10 @@
 	Empty bool
 	// Voter is true while the host is a voter.
 	Voter bool
-	// Servers are the names of the hosts that are voters.
-	Servers []string
+	// Servers are the names of the hosts that are voters, and Learners those of the
+	// others in the configuration.
+	Servers  []string
+	Learners []string
 	// Controls are the known addresses of the hosts in the configuration, learners
 	// included.
 	Controls []netip.AddrPort
@@ -62,6 +64,9 @@
 	// lastContact is when the host last had contact with the leader or, while it
 	// leads, with a quorum.
 	lastContact time.Time
+	// heardAt maps the name of each other host in the configuration to when this host, as
+	// the leader, last heard it; empty while it does not lead.
+	heardAt map[string]time.Time
 }
 
 // Store applies the commands of the replicated log to the state and lets
@@ -72,7 +77,7 @@
 	// id is the server ID of this host. targetVoters is the number of voters once
 	// all hosts have joined, and minInitialVoters the number of voters that the
 	// first command needs. None of the fields above mu change, except
-	// droppedMessages.
+	// droppedMessages and diskWaits.
 	id               string
 	targetVoters     int
 	minInitialVoters int
@@ -84,6 +89,8 @@
 	// droppedMessages counts messages for hosts that were unknown or whose queues
 	// were full.
 	droppedMessages atomic.Uint64
+	// diskWaits are the times that the loop waits for its disk.
+	diskWaits recentMaximum
 
 	mu sync.Mutex
 	// state is guarded by mu.
@@ -260,7 +267,7 @@
 	return s.status.Controls
 }
 
-func (s *Store) publishStatus(now time.Time, r replica.Status, leads bool, leader netip.AddrPort) {
+func (s *Store) publishStatus(now time.Time, r replica.Status, leads bool, leader netip.AddrPort, heardAt map[string]time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	lastContact := s.status.lastContact
@@ -269,8 +276,9 @@
 	}
 	s.status = Status{
 		Leads: leads, Leader: s.peers.hostName(r.Leader), Address: leader, Empty: len(r.Configuration.GetServers()) == 0,
-		Voter: s.isVoter(r.Configuration), Servers: voterNames(r.Configuration), Controls: s.hostAddresses(r.Configuration),
+		Voter: s.isVoter(r.Configuration), Servers: serverNames(r.Configuration, false), Learners: serverNames(r.Configuration, true), Controls: s.hostAddresses(r.Configuration),
 		Term: r.Term, Commit: r.Commit, LogBytes: r.LogBytes, SnapshotBytes: r.SnapshotBytes, lastContact: lastContact,
+		heardAt: heardAt,
 	}
 }
 
@@ -293,10 +301,11 @@
 	return out
 }
 
-func voterNames(c *replicav1.Configuration) []string {
+// serverNames returns the names of the learners, or of the voters.
+func serverNames(c *replicav1.Configuration, learners bool) []string {
 	var out []string
 	for _, o := range c.GetServers() {
-		if !o.GetLearner() {
+		if o.GetLearner() == learners {
 			out = append(out, o.GetName())
 		}
 	}
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -95,6 +95,20 @@
 	return n.now.Sub(n.peers[id].lastContact)
 }
 
+// Holders returns the IDs of the voters that this leader knows to have an entry on their
+// disks.
+func (n *Node) Holders(index uint64) []string {
+	var out []string
+	for _, s := range n.configuration.GetServers() {
+		own := s.GetId() == n.options.ID && n.stable >= index
+		p := n.peers[s.GetId()]
+		if !s.GetLearner() && (own || p != nil && p.match >= index) {
+			out = append(out, s.GetId())
+		}
+	}
+	return out
+}
+
 // Synced reports whether this leader heard a server within the election
 // timeout, and the server has all committed entries on its disk.
 func (n *Node) Synced(id string) bool {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -84,6 +84,8 @@
 	role  Role
 	// leader is the ID of the leader of the term; empty while unknown.
 	leader string
+	// reason says why the node last began a campaign or became a follower.
+	reason string
 	log    entryLog
 	// commit is the index of the newest entry known to be committed.
 	commit uint64
@@ -157,6 +159,7 @@
 		return
 	}
 	if n.isVoter(n.options.ID) && !n.now.Before(n.electionDeadline) {
+		n.reason = "no contact with a leader"
 		n.campaign(PreCandidate, false)
 	}
 }
@@ -164,6 +167,7 @@
 func (n *Node) tickLeader() {
 	if !n.now.Before(n.electionDeadline) {
 		if !n.hasLiveQuorum() {
+			n.reason = "no contact with a quorum"
 			n.becomeFollower(n.state.GetTerm(), "")
 			return
 		}
@@ -212,6 +216,7 @@
 		n.handleAppendAnswer(m)
 	case replicav1.Message_KIND_TIMEOUT_NOW:
 		if n.isVoter(n.options.ID) {
+			n.reason = "transfer"
 			n.campaign(Candidate, true)
 		}
 	case replicav1.Message_KIND_READ:
@@ -238,6 +243,7 @@
 			return false
 		}
 	}
+	n.reason = "a newer term"
 	n.becomeFollower(m.GetTerm(), "")
 	return true
 }
@@ -285,7 +291,9 @@
 	Commit uint64
 	// HasContact reports whether the node heard the leader, or as the leader a
 	// quorum, within the election timeout.
-	HasContact    bool
+	HasContact bool
+	// Reason says why the node last began a campaign or became a follower.
+	Reason        string
 	Configuration *replicav1.Configuration
 	// LogBytes is the size of the entries in memory, and SnapshotBytes that of the
 	// state in the newest snapshot.
@@ -296,7 +304,7 @@
 // Status returns the status of the node at a time.
 func (n *Node) Status(now time.Time) Status {
 	s := Status{
-		Role: n.role, Leader: n.leader, Term: n.state.GetTerm(), Commit: n.commit, Configuration: n.configuration,
+		Role: n.role, Leader: n.leader, Term: n.state.GetTerm(), Commit: n.commit, Reason: n.reason, Configuration: n.configuration,
 		LogBytes: n.log.size(0, n.log.lastIndex()), SnapshotBytes: len(n.log.snapshot.GetState()),
 	}
 	n.advanceClock(now)
