Show that learners whose hosts are gone are never removed

A host that joins and is lost before it is a voter stays in the configuration as a learner for good: retireServer acts only while there are more voters than targetVoters, and passes learners over.

TestRetirement runs real replicas and the handlers of the loop on a scripted clock and network.

--- /dev/null
+++ b/control/retirement_test.go
@@ -0,0 +1,232 @@
+package control
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"path/filepath"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/sirupsen/logrus"
+
+	replicav1 "ebonyreel/proto/replica/v1"
+	"ebonyreel/replica"
+	"ebonyreel/settings"
+)
+
+const scriptTargetVoters = 3
+
+// TestRetirement runs scripted control hosts. It guards against learners that stay in the
+// configuration, and are sent the whole log again and again, once their hosts are gone.
+func TestRetirement(t *testing.T) {
+	datadriven.Walk(t, filepath.Join("testdata", "retirement"), func(t *testing.T, path string) {
+		c := &scriptCluster{t: t, now: time.Unix(1000, 0), hosts: map[string]*scriptHost{}}
+		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
+			c.began = c.now
+			c.out.Reset()
+			for _, line := range strings.Split(d.Input, "\n") {
+				c.run(strings.Fields(line))
+			}
+			return c.out.String()
+		})
+	})
+}
+
+// scriptCluster is a group of control hosts without disks, on a clock and a network of
+// their own.
+type scriptCluster struct {
+	t *testing.T
+	// began is when the current block of the script began.
+	began, now time.Time
+	hosts      map[string]*scriptHost
+	network    []scriptMessage
+	identities int
+	// leader and servers are the newest that were printed to out.
+	leader, servers string
+	out             strings.Builder
+}
+
+// scriptHost is one control host. A lost host neither sends nor receives; a deaf one
+// receives no messages.
+type scriptHost struct {
+	loop       *loop
+	lost, deaf bool
+	// snapshotDelay is how long a snapshot takes to the host.
+	snapshotDelay time.Duration
+	nextJoin      time.Time
+}
+
+type scriptMessage struct {
+	sender   *peers
+	message  *replicav1.Message
+	arrives  time.Time
+	receiver *scriptHost
+}
+
+func (c *scriptCluster) run(words []string) {
+	if words[0] == "elapse" {
+		for end := c.now.Add(c.duration(words[1])); c.now.Before(end); {
+			c.now = c.now.Add(tickInterval)
+			c.tick()
+		}
+		return
+	}
+	for _, name := range words[1:] {
+		h := c.hosts[name]
+		switch words[0] {
+		case "boot":
+			c.start(name)
+			bootstrapRequest{}.handle(c.hosts[name].loop, c.now)
+		case "start":
+			c.start(name)
+		case "start-behind-slow-path":
+			c.start(name)
+			c.hosts[name].snapshotDelay = 8 * time.Second
+		case "lose":
+			h.lost = true
+		case "return":
+			h.lost = false
+		case "deafen":
+			h.deaf = true
+		case "compact":
+			st := h.loop.node.Status(c.now)
+			h.loop.node.Compact(&replicav1.Snapshot{Index: st.Commit, Term: h.loop.node.Term(st.Commit), Configuration: st.Configuration}, replica.Retention{})
+		default:
+			c.t.Fatalf("unknown command %s", words[0])
+		}
+	}
+}
+
+func (c *scriptCluster) duration(word string) time.Duration {
+	d, err := time.ParseDuration(word)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return d
+}
+
+// start starts a host with an empty disk, and replaces one of the same name.
+func (c *scriptCluster) start(name string) {
+	c.identities++
+	id, wait := fmt.Sprintf("%s%d", name, c.identities), time.Duration(c.identities)*heartbeatInterval
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(c.identities))
+	p := newPeers(id, settings.Control{Name: name, Peers: address}, nil)
+	l := &loop{store: &Store{id: id, targetVoters: scriptTargetVoters, peers: p}, peers: p, log: logrus.NewEntry(log)}
+	l.node = replica.New(replica.Options{
+		ID: id, ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, AppendBytes: maxAppendBytes,
+		Random: func(limit time.Duration) time.Duration { return wait % limit },
+	}, replica.Stored{}, c.now)
+	c.hosts[name] = &scriptHost{loop: l}
+}
+
+func (c *scriptCluster) tick() {
+	for _, name := range c.names() {
+		h := c.hosts[name]
+		if h.lost {
+			continue
+		}
+		h.loop.node.Tick(c.now)
+		h.loop.lastStatus = h.loop.node.Status(c.now)
+		h.loop.retireServer(c.now)
+		c.requestJoin(h)
+		c.process(h)
+	}
+	for range 4 {
+		c.deliver()
+	}
+	c.print()
+}
+
+func (c *scriptCluster) names() []string {
+	var out []string
+	for name := range c.hosts {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// requestJoin lets a host that is no voter, or has lost contact, ask the leader to join.
+func (c *scriptCluster) requestJoin(h *scriptHost) {
+	st, leader := h.loop.lastStatus, c.hosts[c.leader]
+	if leader == nil || leader.lost || c.now.Before(h.nextJoin) || h.loop.store.isVoter(st.Configuration) && st.HasContact {
+		return
+	}
+	h.nextJoin = c.now.Add(joinInterval)
+	self := h.loop.peers.self
+	r := &replicav1.JoinRequest{Id: h.loop.store.id, Name: self.Name, Address: self.Address.String()}
+	(&joinRequest{request: r, reply: make(chan joinResult, 1)}).handle(leader.loop, c.now)
+	c.process(leader)
+}
+
+// process carries out the effects of a host's node, and sends its messages.
+func (c *scriptCluster) process(h *scriptHost) {
+	for r := h.loop.node.Ready(); !r.Empty(); r = h.loop.node.Ready() {
+		h.loop.node.Saved()
+		for _, m := range append(r.BeforeSync, r.AfterSync...) {
+			for _, o := range c.hosts {
+				if o.loop.store.id != m.GetTo() {
+					continue
+				}
+				arrives := c.now
+				if m.GetKind() == replicav1.Message_KIND_SNAPSHOT {
+					arrives = arrives.Add(o.snapshotDelay)
+				}
+				c.network = append(c.network, scriptMessage{sender: h.loop.peers, message: m, arrives: arrives, receiver: o})
+			}
+		}
+	}
+	h.loop.lastStatus = h.loop.node.Status(c.now)
+}
+
+// deliver delivers the messages that have arrived.
+func (c *scriptCluster) deliver() {
+	messages := c.network
+	c.network = nil
+	for _, m := range messages {
+		if m.arrives.After(c.now) {
+			c.network = append(c.network, m)
+			continue
+		}
+		sender := c.hosts[m.sender.self.Name]
+		if sender.lost || m.receiver.lost || m.receiver.deaf {
+			continue
+		}
+		d := &delivery{request: &replicav1.DeliverRequest{
+			Id: m.sender.id, Name: m.sender.self.Name, Address: m.sender.self.Address.String(), Messages: []*replicav1.Message{m.message},
+		}}
+		d.handle(m.receiver.loop, c.now)
+		c.process(m.receiver)
+	}
+}
+
+// print prints the leader and the configuration when they have changed; learners are in
+// parentheses.
+func (c *scriptCluster) print() {
+	var newest replica.Status
+	leader := ""
+	for name, h := range c.hosts {
+		if st := h.loop.lastStatus; !h.lost && st.Role == replica.Leader && st.Term > newest.Term {
+			leader, newest = name, st
+		}
+	}
+	var servers []string
+	for _, s := range newest.Configuration.GetServers() {
+		if s.GetLearner() {
+			servers = append(servers, "("+s.GetName()+")")
+		} else {
+			servers = append(servers, s.GetName())
+		}
+	}
+	if s := strings.Join(servers, " "); leader != "" && (leader != c.leader || s != c.servers) {
+		c.servers = s
+		fmt.Fprintf(&c.out, "%s %s: %s\n", c.now.Sub(c.began), leader, s)
+	}
+	c.leader = leader
+}
