Remove learners that the leader has not heard for 2 s

Control hosts that were lost before they became voters stayed in the configuration for good, so that the leader kept sending to them and passed their addresses on. The cause: only voters were removed, and only while there were more of them than targetVoters.

The choice of the server to remove is now a function of the configuration, the contact times and the settings, without network or clock. The rule for voters is as before. Learners count for no quorum, so they are removed also while voters are few, after the timeout of a lost voter; a request to join counts as contact, as a learner behind a slow or broken path still sends those. Removals leave the one change at a time to a learner that can be promoted, and to the requests between two of them.

--- a/control/inputs.go
+++ b/control/inputs.go
@@ -118,6 +118,7 @@
 
 func (d *delivery) handle(l *loop, now time.Time) {
 	l.peers.learnServer(d.request.GetId(), d.request.GetName(), d.request.GetAddress())
+	l.peers.recordCall(d.request.GetName(), now)
 	for _, m := range d.request.GetMessages() {
 		l.node.Step(now, m)
 	}
@@ -146,6 +147,7 @@
 		return
 	}
 	l.peers.learnServer(r.GetId(), r.GetName(), r.GetAddress())
+	l.peers.recordCall(r.GetName(), now)
 	kind, s := replica.AddLearner, &replicav1.Server{Id: r.GetId(), Name: r.GetName(), Address: r.GetAddress()}
 	for _, o := range l.node.Status(now).Configuration.GetServers() {
 		switch {
--- a/control/loop.go
+++ b/control/loop.go
@@ -105,6 +105,8 @@
 	// it last warned that an input had waited for long.
 	lastDiskWait    time.Duration
 	lastWaitWarning time.Time
+	// nextLearnerRemoval is the earliest time at which another learner is removed.
+	nextLearnerRemoval time.Time
 }
 
 // run handles inputs until the context ends. After an error the process must
@@ -315,25 +317,6 @@
 	}
 }
 
-// retireServer removes one server whose host is no longer listed in the
-// settings, or has had no contact for voterTimeout, once a replacement has become
-// a voter.
-func (l *loop) retireServer(now time.Time) {
-	if l.lastStatus.Role != replica.Leader || l.voterCount() <= l.store.targetVoters {
-		return
-	}
-	for _, s := range l.lastStatus.Configuration.GetServers() {
-		lostContact := len(l.peers.configured) == 0 && !s.GetLearner() && l.node.SinceContact(s.GetId()) >= voterTimeout
-		if l.peers.mayJoin(s.GetName()) && !lostContact {
-			continue
-		}
-		if l.node.Change(now, replica.Remove, s) == nil {
-			l.log.WithField("Name", s.GetName()).Info("host retired")
-		}
-		return
-	}
-}
-
 func (l *loop) notLeaderError() error {
 	return &NotLeaderError{Address: l.peers.address(l.peers.hostName(l.lastStatus.Leader))}
 }
--- a/control/peers.go
+++ b/control/peers.go
@@ -68,6 +68,9 @@
 	queuedBytes atomic.Int64
 	// cancel stops the delivery.
 	cancel context.CancelFunc
+	// lastCall is when the host last called this one; zero for never. It is guarded
+	// by the mutex of peers.
+	lastCall time.Time
 }
 
 // queuedMessage is a message that waits for delivery.
