Drop control hosts that are gone from the list of peers

A control host kept every host that it had ever heard of: up to 16 MB of messages and a goroutine that delivered them again and again, and an address that was tried with each request to join. Nothing removed a host from the list. The list now follows the newest configuration. A host that is not in it is dropped 2 s after its last call: a new host answers a leader whose configuration it does not have yet, and a removed host, which learns of its removal as it asks to join, gets answers.

The addresses in the configuration are learnt by every host, and not only when a message has no receiver, which a learner never sends: one that returned after its removal knew only the leader that had called it.

`go test -count=1 ./control -run 'TestRetirement|TestLostHostDropped'`: without the removal from the list 14 MB still wait for a lost host, and the leader knows both lost learners; without the end of the delivery a lost host gets 10 calls in 10 s; without the addresses of the configuration the learner in returned_learner does not come back.

--- a/control/loop.go
+++ b/control/loop.go
@@ -129,6 +129,7 @@
 		}
 		l.node.Tick(time.Now())
 		l.retireServer(time.Now())
+		l.peers.update(time.Now(), l.lastStatus.Configuration)
 		if err := l.processReady(ctx); err != nil {
 			return err
 		}
--- a/control/retirement.go
+++ b/control/retirement.go
@@ -138,3 +138,35 @@
 	}
 	return now.Sub(last)
 }
+
+// update learns the hosts in the configuration, and drops those that are not in it and
+// have not called for learnerTimeout, with the messages that wait for them. A host that
+// is not in it yet, or no longer, and calls gets answers.
+func (p *peers) update(now time.Time, c *replicav1.Configuration) {
+	if len(p.configured) > 0 || len(c.GetServers()) == 0 {
+		return
+	}
+	ids, names := map[string]bool{p.id: true}, map[string]bool{}
+	for _, s := range c.GetServers() {
+		ids[s.GetId()], names[s.GetName()] = true, true
+		if p.hostOfServer(s.GetId()) == nil {
+			p.learnServer(s.GetId(), s.GetName(), s.GetAddress())
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, h := range p.hosts {
+		if names[name] || now.Sub(h.lastCall) < learnerTimeout {
+			continue
+		}
+		delete(p.hosts, name)
+		if h.cancel != nil {
+			h.cancel()
+		}
+	}
+	for id, name := range p.hostNames {
+		if !ids[id] && p.hosts[name] == nil {
+			delete(p.hostNames, id)
+		}
+	}
+}
--- a/control/retirement_test.go
+++ b/control/retirement_test.go
@@ -1,19 +1,24 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/cockroachdb/datadriven"
 	"github.com/sirupsen/logrus"
 
 	replicav1 "ebonyreel/proto/replica/v1"
+	"ebonyreel/proto/replica/v1/replicav1connect"
 	"ebonyreel/replica"
 	"ebonyreel/settings"
 )
@@ -92,6 +97,8 @@
 			h.lost = false
 		case "deafen":
 			h.deaf = true
+		case "known":
+			fmt.Fprintf(&c.out, "%s knows %s\n", name, strings.Join(knownHosts(h.loop.peers), " "))
 		case "compact":
 			st := h.loop.node.Status(c.now)
 			h.loop.node.Compact(&replicav1.Snapshot{Index: st.Commit, Term: h.loop.node.Term(st.Commit), Configuration: st.Configuration}, replica.Retention{})
@@ -134,6 +141,7 @@
 		h.loop.node.Tick(c.now)
 		h.loop.lastStatus = h.loop.node.Status(c.now)
 		h.loop.retireServer(c.now)
+		h.loop.peers.update(c.now, h.loop.lastStatus.Configuration)
 		c.requestJoin(h)
 		c.process(h)
 	}
@@ -152,13 +160,28 @@
 	return out
 }
 
+// knownHosts returns the names of the hosts that a host has addresses of.
+func knownHosts(p *peers) []string {
+	var out []string
+	for name := range p.hosts {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out
+}
+
 // requestJoin lets a host that is no voter, or has lost contact, ask the leader to join.
+// It has to know a host that is not lost, or to be empty: then it has the seeds.
 func (c *scriptCluster) requestJoin(h *scriptHost) {
 	st, leader := h.loop.lastStatus, c.hosts[c.leader]
 	if leader == nil || leader.lost || c.now.Before(h.nextJoin) || h.loop.store.isVoter(st.Configuration) && st.HasContact {
 		return
 	}
 	h.nextJoin = c.now.Add(joinInterval)
+	known := knownHosts(h.loop.peers)
+	if !h.loop.empty(c.now) && !slices.ContainsFunc(known, func(name string) bool { return !c.hosts[name].lost }) {
+		return
+	}
 	self := h.loop.peers.self
 	r := &replicav1.JoinRequest{Id: h.loop.store.id, Name: self.Name, Address: self.Address.String()}
 	(&joinRequest{request: r, reply: make(chan joinResult, 1)}).handle(leader.loop, c.now)
@@ -230,3 +253,59 @@
 	}
 	c.leader = leader
 }
+
+// deafClient is a client of a host that does not answer. It counts the calls.
+type deafClient struct {
+	replicav1connect.ReplicaServiceClient
+	calls int
+}
+
+func (c *deafClient) Deliver(ctx context.Context, _ *connect.Request[replicav1.DeliverRequest]) (*connect.Response[replicav1.DeliverResponse], error) {
+	if ctx.Err() == nil {
+		c.calls++
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestLostHostDropped guards against messages that wait for a host that is gone and no
+// longer in the configuration, and are sent to it.
+func TestLostHostDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		p := newPeers("a1", settings.Control{Name: "a", Peers: netip.MustParseAddrPort("127.0.0.1:1")}, nil)
+		p.learnServer("b1", "b", "127.0.0.1:2")
+		client := &deafClient{}
+		p.hosts["b"].client = client
+		p.start(ctx)
+		for range 1000 {
+			p.hosts["b"].enqueue(&replicav1.Message{Entries: []*replicav1.Entry{{Kind: &replicav1.Entry_Command{Command: make([]byte, 16<<10)}}}})
+		}
+		only := &replicav1.Configuration{Servers: []*replicav1.Server{{Id: "a1", Name: "a"}}}
+		both := &replicav1.Configuration{Servers: append(only.Servers, &replicav1.Server{Id: "b1", Name: "b", Address: "127.0.0.1:2"})}
+		p.update(time.Now(), both)
+		p.recordCall("b", time.Now())
+		time.Sleep(learnerTimeout - time.Millisecond)
+		p.update(time.Now(), only)
+		if p.queuedBytes() == 0 || p.hostOfServer("b1") == nil {
+			t.Error("a host that has just called was dropped")
+		}
+		time.Sleep(time.Millisecond)
+		p.update(time.Now(), only)
+		if b, a := p.queuedBytes(), p.otherAddresses(); b != 0 || len(a) != 0 || p.hostName("b1") != "" {
+			t.Errorf("%d bytes wait for a lost host, and its addresses are %v", b, a)
+		}
+		synctest.Wait()
+		before := client.calls
+		time.Sleep(10 * deliverTimeout)
+		synctest.Wait()
+		if client.calls != before {
+			t.Errorf("%d more calls to a lost host", client.calls-before)
+		}
+		p.update(time.Now(), both)
+		if len(p.otherAddresses()) != 1 {
+			t.Error("the host is not known after it joined again")
+		}
+	})
+}
