Let only the leader answer requests to join

A learner that was to take the place of a lost voter got an answer without an error from whichever host it asked first, and then asked no other for 200 ms. A follower does not know which voters are healthy and counted all of them, so that it answered that there are enough; it also told a removed voter, from an older configuration, that it is still one. The learner was promoted only when it happened to ask the leader first. A follower now answers that it does not lead, and names the leader, which the host asks next.

`go test -count=1 ./control -run TestJoinAtFollower` failed for a voter and for a learner ("got error <nil>") and passes now.

--- a/control/inputs.go
+++ b/control/inputs.go
@@ -148,8 +148,14 @@
 	}
 	l.peers.learnServer(r.GetId(), r.GetName(), r.GetAddress())
 	l.peers.recordCall(r.GetName(), now)
+	st := l.node.Status(now)
+	if st.Role != replica.Leader {
+		// The configuration may be outdated here, and the health of voters is not known.
+		j.reply <- joinResult{err: l.notLeaderError()}
+		return
+	}
 	kind, s := replica.AddLearner, &replicav1.Server{Id: r.GetId(), Name: r.GetName(), Address: r.GetAddress()}
-	for _, o := range l.node.Status(now).Configuration.GetServers() {
+	for _, o := range st.Configuration.GetServers() {
 		switch {
 		case o.GetId() == r.GetId() && !o.GetLearner():
 			j.reply <- joinResult{voter: true}
--- a/control/retirement_test.go
+++ b/control/retirement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -254,6 +255,24 @@
 	c.leader = leader
 }
 
+// TestJoinAtFollower guards against a learner that does not take the place of a lost voter
+// in time: a follower told it that there are enough voters, and it did not ask the leader.
+func TestJoinAtFollower(t *testing.T) {
+	c := &scriptCluster{t: t, now: time.Unix(1000, 0), hosts: map[string]*scriptHost{}}
+	for _, line := range []string{"boot a", "elapse 1s", "start b c d", "elapse 3s", "lose c", "elapse 1s"} {
+		c.run(strings.Fields(line))
+	}
+	for _, name := range []string{"a", "d"} {
+		reply := make(chan joinResult, 1)
+		r := &joinRequest{request: &replicav1.JoinRequest{Id: c.hosts[name].loop.store.id, Name: name}, reply: reply}
+		r.handle(c.hosts["b"].loop, c.now)
+		var notLeader *NotLeaderError
+		if err := (<-reply).err; !errors.As(err, &notLeader) || notLeader.Address != c.hosts["a"].loop.peers.self.Address {
+			t.Errorf("%s asked a follower to join: got error %v, want a *NotLeaderError with the address of the leader", name, err)
+		}
+	}
+}
+
 // deafClient is a client of a host that does not answer. It counts the calls.
 type deafClient struct {
 	replicav1connect.ReplicaServiceClient
