Ask hosts to join side by side

A host that was to join asked the known addresses in turn, 0.5 s for each that no longer answers, so that with eight of them the leader got the request after 4 s: a replacement has to be a voter by then, and needs at least two requests. The host that last answered without an error is asked first, alone; without an answer all others are asked at once.

The leader answers a request without an error also while it cannot make the change, for another one is under way or the learner lacks entries. A learner that waits for its copy thus asks the leader alone every 200 ms, and does not wait for hosts that are gone.

--- a/control/inputs.go
+++ b/control/inputs.go
@@ -176,6 +176,11 @@
 	if err == nil {
 		l.log.WithField("Server", s.GetId()).WithField("Name", s.GetName()).WithField("Kind", int(kind)).Info("servers changed")
 	}
+	var notLeader *replica.NotLeaderError
+	if !errors.As(err, &notLeader) {
+		// The host found the leader, which may make the change at the next request.
+		err = nil
+	}
 	j.reply <- joinResult{err: l.withLeaderAddress(err)}
 }
 
--- a/control/replica.go
+++ b/control/replica.go
@@ -107,20 +107,41 @@
 	return true
 }
 
-// requestJoin asks the other hosts in turn to let this one join, and also the
-// leader that one of them names, until one of them answers without an error.
+// requestJoin asks the leader to let this host join: first the host that last answered
+// without an error, and then all others at once, so that hosts that are gone delay none.
 func (s *Store) requestJoin(ctx context.Context) {
-	for _, a := range s.peers.otherAddresses() {
-		err := s.requestJoinAt(ctx, a)
-		if leader, e := netip.ParseAddrPort(controls.RefusalFrom(err).GetLeaderAddress()); e == nil && leader != a {
-			err = s.requestJoinAt(ctx, leader)
+	if s.joinAddress.IsValid() {
+		if s.joinAddress = s.requestJoinThrough(ctx, s.joinAddress); s.joinAddress.IsValid() {
+			return
 		}
-		if err == nil {
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	addresses := s.peers.otherAddresses()
+	answered := make(chan netip.AddrPort, len(addresses))
+	for _, a := range addresses {
+		go func() { answered <- s.requestJoinThrough(ctx, a) }()
+	}
+	for range addresses {
+		if s.joinAddress = <-answered; s.joinAddress.IsValid() {
 			return
 		}
 	}
 }
 
+// requestJoinThrough asks a host, and also the leader that it names. It returns the
+// address of the one that answered without an error; the zero value for none.
+func (s *Store) requestJoinThrough(ctx context.Context, a netip.AddrPort) netip.AddrPort {
+	err := s.requestJoinAt(ctx, a)
+	if leader, e := netip.ParseAddrPort(controls.RefusalFrom(err).GetLeaderAddress()); e == nil && leader != a {
+		a, err = leader, s.requestJoinAt(ctx, leader)
+	}
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return a
+}
+
 func (s *Store) requestJoinAt(ctx context.Context, a netip.AddrPort) error {
 	call, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
--- a/control/retirement_test.go
+++ b/control/retirement_test.go
@@ -185,7 +185,11 @@
 	}
 	self := h.loop.peers.self
 	r := &replicav1.JoinRequest{Id: h.loop.store.id, Name: self.Name, Address: self.Address.String()}
-	(&joinRequest{request: r, reply: make(chan joinResult, 1)}).handle(leader.loop, c.now)
+	reply := make(chan joinResult, 1)
+	(&joinRequest{request: r, reply: reply}).handle(leader.loop, c.now)
+	if err := (<-reply).err; err != nil {
+		c.t.Errorf("%s is to ask other hosts although it found the leader: %v", self.Name, err)
+	}
 	c.process(leader)
 }
 
--- a/control/store.go
+++ b/control/store.go
@@ -77,7 +77,7 @@
 	// id is the server ID of this host. targetVoters is the number of voters once
 	// all hosts have joined, and minInitialVoters the number of voters that the
 	// first command needs. None of the fields above mu change, except
-	// droppedMessages and diskWaits.
+	// joinAddress, droppedMessages and diskWaits.
 	id               string
 	targetVoters     int
 	minInitialVoters int
@@ -86,6 +86,9 @@
 	peers        *peers
 	inputs       *inputQueue
 	loop         *loop
+	// joinAddress is the address of the host that answered the last request to join
+	// without an error; the zero value for none. Only runJoin uses it.
+	joinAddress netip.AddrPort
 	// droppedMessages counts messages for hosts that were unknown or whose queues
 	// were full.
 	droppedMessages atomic.Uint64
