Go on after any step of replacing a file finds the disk full

Only ENOSPC of the write of a copy counted as a full disk. Each of the other steps changes nothing that is in use: creating the copy, renaming it, emptying the file of the synced length, and even the sync of the copy, as the copy is deleted and the next attempt writes a new file. A failed sync of the segment, of the file of the synced length or of the folder still ends the process, as what is in use may be lost.

--- a/control/store.go
+++ b/control/store.go
@@ -122,14 +122,15 @@
 // Open reads the data folder of a control host. A damaged folder is moved aside
 // if the settings list other hosts, from which this one can copy the state.
 func Open(s settings.Control, h *http.Client, log *logrus.Entry, options ...connect.ClientOption) (*Store, error) {
-	wal, content, err := writeahead.Open(s.DataFolder)
+	folder := writeahead.Folder{Path: s.DataFolder}
+	wal, content, err := writeahead.Open(folder)
 	var damaged *writeahead.CorruptionError
 	if errors.As(err, &damaged) && len(s.Cluster) > 1 {
 		log.WithError(err).Error("data folder set aside, the host joins anew")
-		if err = writeahead.SetAside(s.DataFolder); err != nil {
+		if err = writeahead.SetAside(folder); err != nil {
 			return nil, err
 		}
-		wal, content, err = writeahead.Open(s.DataFolder)
+		wal, content, err = writeahead.Open(folder)
 	}
 	if err != nil {
 		return nil, err
--- a/writeahead/files.go
+++ b/writeahead/files.go
@@ -6,7 +6,6 @@
 	"io/fs"
 	"os"
 	"path/filepath"
-	"syscall"
 
 	"github.com/joomcode/errorx"
 
@@ -17,42 +16,6 @@
 // and its checksum.
 const syncedLengthFileBytes = 8 + checksumBytes
 
-// replaceFile atomically replaces a file: it writes and syncs a copy under
-// another name, and renames it.
-func replaceFile(folder, name string, b []byte) error {
-	path := filepath.Join(folder, name)
-	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
-	if err != nil {
-		return errorx.Decorate(err, "create %s", name)
-	}
-	defer func() { _ = f.Close() }()
-	if _, err := f.Write(b); errors.Is(err, syscall.ENOSPC) {
-		// A partial copy would take up space that other writes need.
-		return &DiskFullError{Cause: errors.Join(err, os.Remove(path+".new"))}
-	} else if err != nil {
-		return &SyncError{Cause: err}
-	}
-	if err := f.Sync(); err != nil {
-		return &SyncError{Cause: err}
-	}
-	if err := os.Rename(path+".new", path); err != nil {
-		return errorx.Decorate(err, "rename %s", name)
-	}
-	return syncFolder(folder)
-}
-
-func syncFolder(folder string) error {
-	d, err := os.Open(folder)
-	if err != nil {
-		return errorx.Decorate(err, "open data folder")
-	}
-	defer func() { _ = d.Close() }()
-	if err := d.Sync(); err != nil {
-		return &SyncError{Cause: err}
-	}
-	return nil
-}
-
 // writeSyncedLength writes the synced length of the segment to its file. The
 // file is not synced, and a full disk is no error: with an old or missing length
 // only less corruption is found.
@@ -60,16 +23,17 @@
 	b := binary.LittleEndian.AppendUint64(nil, uint64(l.synced))
 	b = binary.LittleEndian.AppendUint32(b, checksum(b))
 	_, err := l.lengthFile.WriteAt(b, 0)
-	if err != nil && !errors.Is(err, syscall.ENOSPC) {
+	if err != nil && !isDiskFull(err) {
 		return errorx.Decorate(err, "write synced length")
 	}
 	return nil
 }
 
-// clearSyncedLength empties the file of the synced length, and syncs it.
+// clearSyncedLength empties the file of the synced length, and syncs it. After a
+// *DiskFullError the file is unchanged.
 func (l *Log) clearSyncedLength() error {
 	if err := l.lengthFile.Truncate(0); err != nil {
-		return errorx.Decorate(err, "clear synced length")
+		return decorate(err, "clear synced length")
 	}
 	if err := l.lengthFile.Sync(); err != nil {
 		return &SyncError{Cause: err}
--- a/writeahead/log.go
+++ b/writeahead/log.go
@@ -15,11 +15,9 @@
 
 import (
 	"crypto/rand"
-	"errors"
 	"io"
 	"os"
 	"path/filepath"
-	"syscall"
 
 	"github.com/joomcode/errorx"
 
@@ -33,20 +31,12 @@
 	syncedLengthFile = "synced"
 	// asideFolder holds the files that SetAside moved.
 	asideFolder = "lost"
-	folderMode  = 0o700
-	fileMode    = 0o600
+	// newSuffix ends the name of the copy that is to replace a file.
+	newSuffix  = ".new"
+	folderMode = 0o700
+	fileMode   = 0o600
 )
 
-// File is a segment that is open for writing; tests replace it to make writes
-// and syncs fail.
-type File interface {
-	Write(b []byte) (int, error)
-	Sync() error
-	Truncate(size int64) error
-	Seek(offset int64, whence int) (int64, error)
-	Close() error
-}
-
 // Content is the state that a folder holds.
 type Content struct {
 	// ID identifies the server that the folder belongs to.
@@ -63,14 +53,14 @@
 // for concurrent use, except as SaveSnapshot says.
 type Log struct {
 	// folder is used by this process only.
-	folder string
+	folder Folder
 	// id is the server ID.
 	id string
 	// file is the segment.
 	file File
 	// lengthFile is the file of the synced length; nil until the first segment
 	// is open.
-	lengthFile *os.File
+	lengthFile File
 	// size is the length of the segment, in bytes.
 	size int64
 	// synced is the length of the segment that is known to be synced, in bytes.
@@ -80,39 +70,51 @@
 }
 
 // Open reads a folder. A torn tail of the segment is cut off. A folder without a
-// segment gets a new server ID; a snapshot in it is set aside. The error is a
-// *CorruptionError if synced data is damaged.
-func Open(folder string) (*Log, *Content, error) {
-	if err := os.MkdirAll(folder, folderMode); err != nil {
-		return nil, nil, errorx.Decorate(err, "create data folder")
+// segment gets a new server ID; a snapshot in it is set aside. The error is a *CorruptionError if synced data is damaged, or a
+// *DiskFullError, after which Open may be called again.
+func Open(folder Folder) (*Log, *Content, error) {
+	if err := os.MkdirAll(folder.Path, folderMode); err != nil {
+		return nil, nil, decorate(err, "create data folder")
 	}
-	c, size, err := readFolder(folder)
+	c, size, err := readFolder(folder.Path)
 	if err != nil {
 		return nil, nil, err
 	}
 	l := &Log{folder: folder, id: c.ID}
 	if c.ID == "" {
-		if err := SetAside(folder); err != nil {
-			return nil, nil, err
-		}
 		c.ID = rand.Text()
 		l.id = c.ID
-		return l, c, l.ReplaceSegment(nil, nil)
+		err = l.begin()
+	} else {
+		err = l.resume(size)
+	}
+	if err != nil {
+		l.closeFiles()
+		return nil, nil, err
 	}
-	return l, c, l.resume(size)
+	return l, c, nil
+}
+
+// begin sets the files of the folder aside, and starts its first segment.
+func (l *Log) begin() error {
+	if err := SetAside(l.folder); err != nil {
+		return err
+	}
+	return l.ReplaceSegment(nil, nil)
 }
 
 // resume opens the segment for appending after its first size bytes, and cuts
 // off the rest.
 func (l *Log) resume(size int64) error {
-	f, err := os.OpenFile(filepath.Join(l.folder, segmentFile), os.O_WRONLY, fileMode)
+	f, err := l.folder.files().Open(l.folder.path(segmentFile), os.O_WRONLY, fileMode)
 	if err != nil {
 		return errorx.Decorate(err, "open segment")
 	}
+	l.file = f
 	if err := f.Truncate(size); err != nil {
-		return errorx.Decorate(err, "cut torn tail")
+		return decorate(err, "cut torn tail")
 	}
-	if _, err := f.Seek(size, 0); err != nil {
+	if _, err := f.Seek(size, io.SeekStart); err != nil {
 		return errorx.Decorate(err, "seek to end of segment")
 	}
 	return l.useSegment(f, size)
@@ -120,21 +122,22 @@
 
 // useSegment syncs a segment of size bytes, and makes it the one that Save
 // appends to.
-func (l *Log) useSegment(f *os.File, size int64) error {
+func (l *Log) useSegment(f File, size int64) error {
+	if l.file != nil && l.file != f {
+		_ = l.file.Close()
+	}
+	l.file = f
 	if err := f.Sync(); err != nil {
 		return &SyncError{Cause: err}
 	}
 	if l.lengthFile == nil {
-		file, err := os.OpenFile(filepath.Join(l.folder, syncedLengthFile), os.O_CREATE|os.O_RDWR, fileMode)
+		file, err := l.folder.files().Open(l.folder.path(syncedLengthFile), os.O_CREATE|os.O_RDWR, fileMode)
 		if err != nil {
-			return errorx.Decorate(err, "open file of the synced length")
+			return decorate(err, "open file of the synced length")
 		}
 		l.lengthFile = file
 	}
-	if l.file != nil {
-		_ = l.file.Close()
-	}
-	l.file, l.size, l.synced = f, size, size
+	l.size, l.synced = size, size
 	return l.writeSyncedLength()
 }
 
@@ -161,7 +164,7 @@
 // discardBatch cuts off the part of a batch that a write wrote before the disk
 // was full. Any other cause makes it return a *SyncError.
 func (l *Log) discardBatch(cause error) error {
-	if !errors.Is(cause, syscall.ENOSPC) {
+	if !isDiskFull(cause) {
 		return &SyncError{Cause: cause}
 	}
 	if err := l.file.Truncate(l.size); err != nil {
@@ -204,6 +207,7 @@
 // server ID, a term and vote, and entries. The entries must include all after the
 // saved snapshot; Open skips those that the snapshot covers.
 func (l *Log) ReplaceSegment(state *replicav1.HardState, entries []*replicav1.Entry) error {
+	synced := l.synced
 	l.synced = 0
 	identity := &replicav1.Record{Kind: &replicav1.Record_Id{Id: l.id}}
 	b, err := appendRecord(nil, identity, 0)
@@ -218,14 +222,15 @@
 	// one.
 	if l.lengthFile != nil {
 		if err := l.clearSyncedLength(); err != nil {
+			l.synced = synced
 			return err
 		}
 	}
-	if err := replaceFile(l.folder, segmentFile, l.batch); err != nil {
-		l.synced = l.size
+	if err := l.folder.replace(segmentFile, l.batch); err != nil {
+		l.synced = synced
 		return err
 	}
-	f, err := os.OpenFile(filepath.Join(l.folder, segmentFile), os.O_WRONLY|os.O_APPEND, fileMode)
+	f, err := l.folder.files().Open(l.folder.path(segmentFile), os.O_WRONLY|os.O_APPEND, fileMode)
 	if err != nil {
 		return errorx.Decorate(err, "open segment")
 	}
@@ -240,7 +245,7 @@
 	if err != nil {
 		return err
 	}
-	return replaceFile(l.folder, snapshotFile, b)
+	return l.folder.replace(snapshotFile, b)
 }
 
 // Close closes the files of the log.
@@ -253,22 +258,32 @@
 	return nil
 }
 
+// closeFiles closes the files that a failed Open has opened.
+func (l *Log) closeFiles() {
+	if l.file != nil {
+		_ = l.file.Close()
+	}
+	if l.lengthFile != nil {
+		_ = l.lengthFile.Close()
+	}
+}
+
 // SetAside moves the files of a folder into a folder in it, so that Open finds an
-// empty folder. Files that were set aside before are deleted.
-func SetAside(folder string) error {
-	aside := filepath.Join(folder, asideFolder)
-	if err := os.RemoveAll(aside); err != nil {
+// empty folder. Files that were set aside before are deleted. After a *DiskFullError
+// Open may be called, as it moves what is left.
+func SetAside(f Folder) error {
+	if err := os.RemoveAll(f.path(asideFolder)); err != nil {
 		return errorx.Decorate(err, "delete files set aside before")
 	}
-	if err := os.Mkdir(aside, folderMode); err != nil {
-		return errorx.Decorate(err, "create folder for files set aside")
+	if err := f.files().Mkdir(f.path(asideFolder), folderMode); err != nil {
+		return decorate(err, "create folder for files set aside")
 	}
 	// The segment is moved first: without it Open uses none of the other files.
 	for _, file := range []string{segmentFile, snapshotFile, syncedLengthFile} {
-		err := os.Rename(filepath.Join(folder, file), filepath.Join(aside, file))
+		err := f.files().Rename(f.path(file), filepath.Join(f.path(asideFolder), file))
 		if err != nil && !os.IsNotExist(err) {
-			return errorx.Decorate(err, "set %s aside", file)
+			return decorate(err, "set %s aside", file)
 		}
 	}
-	return syncFolder(folder)
+	return f.sync()
 }
--- a/writeahead/log_test.go
+++ b/writeahead/log_test.go
@@ -6,7 +6,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
@@ -17,7 +16,7 @@
 // TestScripts runs the scripts in testdata on real files, one folder per script.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		s := &script{t: t, folder: t.TempDir()}
+		s := &script{t: t, folder: t.TempDir(), disk: &fullDisk{failing: map[string]bool{}}}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var out strings.Builder
 			first := d.Cmd
@@ -40,15 +39,17 @@
 type script struct {
 	t      *testing.T
 	folder string
+	disk   *fullDisk
 	log    *Log
 	// ids numbers the server IDs in the order in which they were first seen.
 	ids map[string]int
 }
 
 func (s *script) run(command string, args []string) string {
+	words := map[string]bool{"flip": true, "full": true}
 	numbers := make([]int64, len(args))
 	for i, a := range args {
-		if _, err := fmt.Sscan(a, &numbers[i]); err != nil && command != "flip" {
+		if _, err := fmt.Sscan(a, &numbers[i]); err != nil && !words[command] {
 			s.t.Fatal(err)
 		}
 	}
@@ -75,11 +76,15 @@
 	case "fail-sync":
 		s.log.file = failingSyncFile{s.log.file}
 	case "fill-disk":
-		s.log.file = fullDiskFile{s.log.file}
+		s.disk.failing["write "+segmentFile] = true
+	case "full":
+		s.disk.failing[strings.Join(args, " ")] = true
 	case "free-disk":
-		s.log.file = s.log.file.(fullDiskFile).File
+		clear(s.disk.failing)
+	case "files":
+		return s.files()
 	case "set-aside":
-		return describeError(SetAside(s.folder))
+		return describeError(SetAside(s.dataFolder()))
 	case "lose-segment":
 		return describeError(os.Remove(s.path(segmentFile)))
 	default:
@@ -88,6 +93,21 @@
 	return ""
 }
 
+func (s *script) dataFolder() Folder { return Folder{Path: s.folder, Files: s.disk} }
+
+// files lists the data folder.
+func (s *script) files() string {
+	all, err := os.ReadDir(s.folder)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	out := "files:"
+	for _, e := range all {
+		out += " " + e.Name()
+	}
+	return out + "\n"
+}
+
 func (s *script) path(name string) string { return filepath.Join(s.folder, name) }
 
 func (s *script) size(name string) int64 {
@@ -99,7 +119,7 @@
 }
 
 func (s *script) open() string {
-	l, c, err := Open(s.folder)
+	l, c, err := Open(s.dataFolder())
 	if err != nil {
 		return describeError(err)
 	}
@@ -156,17 +176,6 @@
 
 func (failingSyncFile) Sync() error { return os.ErrDeadlineExceeded }
 
-// fullDiskFile is a file on a full disk, which takes 7 bytes of each write.
-type fullDiskFile struct{ File }
-
-func (f fullDiskFile) Write(b []byte) (int, error) {
-	n, err := f.File.Write(b[:min(len(b), 7)])
-	if err != nil {
-		return n, err
-	}
-	return n, syscall.ENOSPC
-}
-
 func describeError(err error) string {
 	var full *DiskFullError
 	if errors.As(err, &full) {
--- a/writeahead/open_test.go
+++ b/writeahead/open_test.go
@@ -12,7 +12,7 @@
 func TestOpenMemory(t *testing.T) {
 	const count, entryBytes = 64, 1 << 20
 	folder := t.TempDir()
-	l, _, err := Open(folder)
+	l, _, err := Open(Folder{Path: folder})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -27,7 +27,7 @@
 	}
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	l, c, err := Open(folder)
+	l, c, err := Open(Folder{Path: folder})
 	if err != nil {
 		t.Fatal(err)
 	}
