--- a/writeahead/folder.go
+++ b/writeahead/folder.go
@@ -141,7 +141,7 @@
 // remove deletes a file if there is one.
 func (f Folder) remove(name string) error {
 	if err := f.files().Remove(f.path(name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return errorx.Decorate(err, "delete %s", name)
+		return decorate(err, "delete %s", name)
 	}
 	return nil
 }
--- a/writeahead/log.go
+++ b/writeahead/log.go
@@ -69,13 +69,19 @@
 	batch []byte
 }
 
-// Open reads a folder. A torn tail of the segment is cut off. A folder without a
-// segment gets a new server ID; a snapshot in it is set aside. The error is a *CorruptionError if synced data is damaged, or a
+// Open reads a folder. A torn tail of the segment is cut off, and copies that a
+// crash left are deleted. A folder without a segment gets a new server ID; a snapshot
+// in it is set aside. The error is a *CorruptionError if synced data is damaged, or a
 // *DiskFullError, after which Open may be called again.
 func Open(folder Folder) (*Log, *Content, error) {
 	if err := os.MkdirAll(folder.Path, folderMode); err != nil {
 		return nil, nil, decorate(err, "create data folder")
 	}
+	for _, file := range []string{segmentFile, snapshotFile} {
+		if err := folder.remove(file + newSuffix); err != nil {
+			return nil, nil, err
+		}
+	}
 	c, size, err := readFolder(folder.Path)
 	if err != nil {
 		return nil, nil, err
--- a/writeahead/log_test.go
+++ b/writeahead/log_test.go
@@ -46,7 +46,7 @@
 }
 
 func (s *script) run(command string, args []string) string {
-	words := map[string]bool{"flip": true, "full": true}
+	words := map[string]bool{"flip": true, "full": true, "leave": true}
 	numbers := make([]int64, len(args))
 	for i, a := range args {
 		if _, err := fmt.Sscan(a, &numbers[i]); err != nil && !words[command] {
@@ -83,6 +83,8 @@
 		clear(s.disk.failing)
 	case "files":
 		return s.files()
+	case "leave":
+		return describeError(os.WriteFile(s.path(args[0]), make([]byte, 100), fileMode))
 	case "set-aside":
 		return describeError(SetAside(s.dataFolder()))
 	case "lose-segment":
