Wait for room when a control host starts on a full disk

A control host with an empty folder whose disk was full ended at once instead of joining: a host that takes the place of a lost one stayed away until something started it again. A host that runs waits for room and goes on.

The loop tries again while the disk is full, but control.Open did not. It does now, until the context ends, which is that of the signals, so that a stop isn't held up. The host serves nobody meanwhile, as it has neither an identity nor a state.

--- a/cmd/control/command.go
+++ b/cmd/control/command.go
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 
-	store, err := control.Open(s, security.Client, log, connect.WithInterceptors(security.AddKey))
+	store, err := control.Open(stopping, s, security.Client, log, connect.WithInterceptors(security.AddKey))
 	if err != nil {
 		return err
 	}
--- a/control/loop.go
+++ b/control/loop.go
@@ -181,10 +181,10 @@
 		return nil
 	}
 	defer l.recordDiskWait(time.Now())
-	if err := l.retryWhileDiskFull(ctx, func() error { return l.saveSnapshot(r) }); err != nil {
+	if err := retryWhileDiskFull(ctx, l.log, func() error { return l.saveSnapshot(r) }); err != nil {
 		return err
 	}
-	if err := l.retryWhileDiskFull(ctx, func() error { return l.wal.Save(r.State, r.Entries) }); err != nil {
+	if err := retryWhileDiskFull(ctx, l.log, func() error { return l.wal.Save(r.State, r.Entries) }); err != nil {
 		return err
 	}
 	l.node.Saved()
@@ -206,18 +206,18 @@
 }
 
 // retryWhileDiskFull calls write until the disk has room or the context ends.
-func (l *loop) retryWhileDiskFull(ctx context.Context, write func() error) error {
+func retryWhileDiskFull(ctx context.Context, log *logrus.Entry, write func() error) error {
 	for attempts := 0; ; attempts++ {
 		err := write()
 		var full *writeahead.DiskFullError
 		if !errors.As(err, &full) {
 			if attempts > 0 && err == nil {
-				l.log.WithField("Tries", attempts).Info("disk has room again")
+				log.WithField("Tries", attempts).Info("disk has room again")
 			}
 			return err
 		}
 		if attempts == 0 {
-			l.log.WithError(err).Error("disk is full; this host accepts nothing until there is room")
+			log.WithError(err).Error("disk is full; this host accepts nothing until there is room")
 		}
 		select {
 		case <-ctx.Done():
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -74,7 +74,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	self := settings.ControlHost{Name: "control-0", Address: netip.MustParseAddrPort("127.0.0.1:1")}
-	store, err := Open(settings.Control{
+	store, err := Open(context.Background(), settings.Control{
 		Name: self.Name, Peers: self.Address, DataFolder: s.folder, WatchHistory: 1000, Cluster: []settings.ControlHost{self},
 	}, transport.NewClient(), logrus.NewEntry(log))
 	if err != nil {
--- a/control/store.go
+++ b/control/store.go
@@ -119,19 +119,23 @@
 	closeOnce sync.Once
 }
 
-// Open reads the data folder of a control host. A damaged folder is moved aside
-// if the settings list other hosts, from which this one can copy the state.
-func Open(s settings.Control, h *http.Client, log *logrus.Entry, options ...connect.ClientOption) (*Store, error) {
-	folder := writeahead.Folder{Path: s.DataFolder}
-	wal, content, err := writeahead.Open(folder)
-	var damaged *writeahead.CorruptionError
-	if errors.As(err, &damaged) && len(s.Cluster) > 1 {
-		log.WithError(err).Error("data folder set aside, the host joins anew")
-		if err = writeahead.SetAside(folder); err != nil {
-			return nil, err
-		}
-		wal, content, err = writeahead.Open(folder)
-	}
+// Open reads the data folder of a control host. While the disk is full it tries again,
+// until the context ends. A damaged folder is moved aside if the settings list other
+// hosts, from which this one can copy the state.
+func Open(ctx context.Context, s settings.Control, h *http.Client, log *logrus.Entry, options ...connect.ClientOption) (*Store, error) {
+	return openFolder(ctx, writeahead.Folder{Path: s.DataFolder}, s, h, log, options...)
+}
+
+func openFolder(
+	ctx context.Context, f writeahead.Folder, s settings.Control, h *http.Client, log *logrus.Entry, options ...connect.ClientOption,
+) (*Store, error) {
+	var wal *writeahead.Log
+	var content *writeahead.Content
+	err := retryWhileDiskFull(ctx, log, func() error {
+		var err error
+		wal, content, err = readFolder(f, len(s.Cluster) > 1, log)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -157,6 +161,20 @@
 	return st, nil
 }
 
+// readFolder opens a data folder. With replaceDamaged, a damaged one is moved aside.
+func readFolder(f writeahead.Folder, replaceDamaged bool, log *logrus.Entry) (*writeahead.Log, *writeahead.Content, error) {
+	wal, content, err := writeahead.Open(f)
+	var damaged *writeahead.CorruptionError
+	if errors.As(err, &damaged) && replaceDamaged {
+		log.WithError(err).Error("data folder set aside, the host joins anew")
+		if err = writeahead.SetAside(f); err != nil {
+			return nil, nil, err
+		}
+		return writeahead.Open(f)
+	}
+	return wal, content, err
+}
+
 func newLoop(s *Store, wal *writeahead.Log, content *writeahead.Content, log *logrus.Entry) *loop {
 	options := replica.Options{
 		ID: content.ID, ElectionTimeout: electionTimeout, FirstElection: firstElectionTimeout, HeartbeatInterval: heartbeatInterval,
--- a/control/submission_log_test.go
+++ b/control/submission_log_test.go
@@ -20,7 +20,7 @@
 func TestSubmissionsLogged(t *testing.T) {
 	log, lines := test.NewNullLogger()
 	self := settings.ControlHost{Name: "control-0", Address: netip.MustParseAddrPort("127.0.0.1:1")}
-	store, err := Open(settings.Control{
+	store, err := Open(t.Context(), settings.Control{
 		Name: self.Name, Peers: self.Address, DataFolder: t.TempDir(), WatchHistory: 1000, Cluster: []settings.ControlHost{self},
 	}, transport.NewClient(), log.WithField("Name", self.Name))
 	if err != nil {
