Stop acting as the leader while a host waits for its disk

A leader whose disk was full acknowledged announcements that change nothing as long as the disk was full, though the other hosts had elected a new leader, which had not heard of them and took the endpoints for lost after 6 s. It also went on giving out streams, quotas and orders beside the new leader, and calls that reached a follower with a full disk were passed on to a leader of the past.

All these read the status that the loop publishes, and the loop publishes none while it waits for its disk. Reads and watches were safe, as they need a quorum or check the time of the last contact. Status checks that time too now: after leaderContactTimeout (1 s) without contact a host knows no leader and does not lead. It holds for every cause that keeps the loop from running, a disk that answers nothing included.

--- a/control/store.go
+++ b/control/store.go
@@ -243,18 +243,28 @@
 	s.peers.setSeeds(seeds)
 }
 
-// Status returns the newest status of the host.
+// Status returns the newest status of the host. A host without contact knows no leader,
+// and does not lead: while it waits for its disk, another one may have been elected.
 func (s *Store) Status() Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.status
+	out := s.status
+	if !out.hasContact() {
+		out.Leads, out.Leader, out.Address = false, "", netip.AddrPort{}
+	}
+	return out
+}
+
+func (s *Status) hasContact() bool {
+	return time.Since(s.lastContact) < leaderContactTimeout
 }
 
 // HasContact reports whether the host had contact with the leader or, as the
 // leader, with a quorum within leaderContactTimeout. It is false at once when a
 // process wakes that was frozen for longer, whatever its status says.
 func (s *Store) HasContact() bool {
-	return time.Since(s.Status().lastContact) < leaderContactTimeout
+	st := s.Status()
+	return st.hasContact()
 }
 
 // targetVoters returns the number of voters once all hosts have joined.
