Handle queued messages before timeouts after a stall of the loop

A leader stepped down after its loop had stalled for longer than an election timeout, for its disk or the processor, although a quorum had answered meanwhile: the loop chooses between a queued message and its ticker at random, and after the ticker it checked the timeouts first. Followers began campaigns the same way with heartbeats of the leader in their queues.

Queued messages are handled first now, whatever woke the loop. TestStalledLeaderStays puts the answers of a quorum into the queue of a leader that last ran 1 s ago.

--- a/control/loop.go
+++ b/control/loop.go
@@ -121,21 +121,28 @@
 		case <-t.C:
 		case q := <-l.store.inputs.waiting:
 			l.handle(q)
-			l.handleQueued()
 		case err := <-l.snapshotDone():
 			if err := l.finishSnapshot(err); err != nil {
 				return err
 			}
 		}
-		l.node.Tick(time.Now())
-		l.retireServer(time.Now())
-		l.peers.update(time.Now(), l.lastStatus.Configuration)
+		l.advance()
 		if err := l.processReady(ctx); err != nil {
 			return err
 		}
 	}
 }
 
+// advance handles the inputs that are already queued and advances the clock. After a
+// stall of the loop, answers that came meanwhile count before the timeouts do.
+func (l *loop) advance() {
+	l.handleQueued()
+	now := time.Now()
+	l.node.Tick(now)
+	l.retireServer(now)
+	l.peers.update(now, l.lastStatus.Configuration)
+}
+
 // handleQueued handles the inputs that are already queued, so that they share
 // one disk sync.
 func (l *loop) handleQueued() {
