--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -41,11 +42,15 @@
 // block messages. After each step it checks the safety properties of figure 3
 // of the Raft paper.
 type cluster struct {
-	now        time.Time
-	random     *rand.Rand
-	hosts      map[string]*host
-	network    []*replicav1.Message
-	blocked    map[string]bool
+	now     time.Time
+	random  *rand.Rand
+	hosts   map[string]*host
+	network []*replicav1.Message
+	blocked map[string]bool
+	// slow holds the names of the hosts for which held keeps replication messages, which
+	// all others overtake.
+	slow       map[string]bool
+	held       []*replicav1.Message
 	identities int
 	reads      uint64
 	// leaders maps a term to the server that led it.
@@ -60,7 +65,7 @@
 func newTestCluster(seed uint64) *cluster {
 	return &cluster{
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)),
-		hosts: map[string]*host{}, blocked: map[string]bool{},
+		hosts: map[string]*host{}, blocked: map[string]bool{}, slow: map[string]bool{},
 		leaders: map[uint64]string{}, committed: map[uint64]*replicav1.Entry{},
 	}
 }
@@ -116,6 +121,7 @@
 			return
 		}
 		c.send(r.BeforeSync)
+		c.sendReplication(r.Replication)
 		h.disk.save(&r, -1)
 		h.node.Saved()
 		c.send(r.AfterSync)
@@ -127,6 +133,7 @@
 func (c *cluster) crashDuringSave(h *host, records int) {
 	r := h.node.Ready()
 	c.send(r.BeforeSync)
+	c.sendReplication(r.Replication)
 	h.disk.save(&r, records)
 	h.node = nil
 }
@@ -167,6 +174,16 @@
 	}
 }
 
+func (c *cluster) sendReplication(messages []*replicav1.Message) {
+	for _, m := range messages {
+		if c.slow[strings.TrimRight(m.GetTo(), "0123456789")] {
+			c.held = append(c.held, proto.CloneOf(m))
+			continue
+		}
+		c.send([]*replicav1.Message{m})
+	}
+}
+
 func (c *cluster) apply(h *host, r *Ready) {
 	if r.Snapshot != nil {
 		h.restore(r.Snapshot)
@@ -277,7 +294,7 @@
 // waitingEntries returns the number of entries in the messages that wait for a
 // host, and their size in bytes.
 func (c *cluster) waitingEntries(h *host) (count, size int) {
-	for _, m := range c.network {
+	for _, m := range append(slices.Clone(c.network), c.held...) {
 		if m.GetTo() != h.id {
 			continue
 		}
--- a/replica/election.go
+++ b/replica/election.go
@@ -24,6 +24,7 @@
 	n.leader = leader
 	n.votes, n.peers, n.transferTarget = nil, nil, ""
 	n.reads = readQueue{}
+	n.matched, n.leaderCommit = 0, 0
 	n.resetElectionDeadline()
 }
 
--- a/replica/reads.go
+++ b/replica/reads.go
@@ -74,7 +74,7 @@
 	}
 	n.reads.waiting = nil
 	for _, id := range n.peerIDs() {
-		n.send(id, n.peers[id], true)
+		n.sendHeartbeat(id, n.peers[id])
 	}
 	n.confirmReads()
 }
--- a/replica/ready.go
+++ b/replica/ready.go
@@ -2,9 +2,9 @@
 
 import replicav1 "ebonyreel/proto/replica/v1"
 
-// Ready is what the calling code has to carry out, in this order: send BeforeSync;
-// save State, Snapshot and Entries and sync the disk; call Saved; send AfterSync;
-// restore Snapshot and apply Committed; answer Reads once their index is
+// Ready is what the calling code has to carry out, in this order: send BeforeSync and
+// Replication; save State, Snapshot and Entries and sync the disk; call Saved; send
+// AfterSync; restore Snapshot and apply Committed; answer Reads once their index is
 // applied.
 type Ready struct {
 	// State is nil unless it changed.
@@ -16,6 +16,10 @@
 	Entries []*replicav1.Entry
 	// BeforeSync may be sent before the disk is synced.
 	BeforeSync []*replicav1.Message
+	// Replication are the appends and snapshots that a server needs in this order.
+	// They may be sent before the disk is synced. They can be large, and messages of
+	// the other lists may overtake them.
+	Replication []*replicav1.Message
 	// AfterSync must not be sent before the disk is synced.
 	AfterSync []*replicav1.Message
 	// Committed are entries to apply; they are committed and on this disk.
@@ -34,7 +38,7 @@
 
 // Empty reports whether there is nothing to carry out.
 func (r *Ready) Empty() bool {
-	return !r.MustSync() && len(r.BeforeSync)+len(r.AfterSync)+len(r.Committed)+len(r.Reads) == 0
+	return !r.MustSync() && len(r.BeforeSync)+len(r.Replication)+len(r.AfterSync)+len(r.Committed)+len(r.Reads) == 0
 }
 
 // MustSync reports whether there is something to save and sync.
@@ -55,6 +59,7 @@
 		n.dirty = false
 		// No message of a term may be sent before the term is on the disk.
 		r.BeforeSync, r.AfterSync = nil, append(r.BeforeSync, r.AfterSync...)
+		r.Replication, n.pending.Replication = nil, r.Replication
 	}
 	r.Entries = n.log.entriesFrom(n.stable + 1)
 	if to := min(n.commit, n.stable); to > n.delivered {
@@ -125,6 +130,12 @@
 	n.pending.BeforeSync = append(n.pending.BeforeSync, m)
 }
 
+// queueReplication queues an append or a snapshot, whose order matters.
+func (n *Node) queueReplication(m *replicav1.Message) {
+	m.From, m.Term = n.options.ID, n.state.GetTerm()
+	n.pending.Replication = append(n.pending.Replication, m)
+}
+
 // queueAfterSync queues a message that must not be sent before the disk is synced.
 func (n *Node) queueAfterSync(m *replicav1.Message) {
 	m.From = n.options.ID
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -111,7 +111,12 @@
 	nextHeartbeat time.Time
 	// lastContact is when this node last heard the leader of the term.
 	lastContact time.Time
-	reads       readQueue
+	// matched is the index of the newest entry known to match the log of the leader
+	// of the term, and leaderCommit the newest commit index heard from that leader.
+	// Messages that overtake each other may tell one long before the other.
+	matched      uint64
+	leaderCommit uint64
+	reads        readQueue
 	// transferTarget is the ID of the server that is to take over the
 	// leadership; empty while no transfer is under way.
 	transferTarget string
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -62,6 +62,10 @@
 	if command == "join" {
 		return c.change(AddLearner, c.addHost(args[0]))
 	}
+	if command == "slow" {
+		c.slow[args[0]] = true
+		return ""
+	}
 	if command == "remove" {
 		return c.change(Remove, &host{id: args[0]})
 	}
@@ -126,6 +130,8 @@
 		c.network = nil
 	case "heal":
 		clear(c.blocked)
+		clear(c.slow)
+		c.network, c.held = append(c.network, c.held...), nil
 	default:
 		t.Fatalf("unknown command %s", command)
 	}
--- a/replica/replication.go
+++ b/replica/replication.go
@@ -25,19 +25,24 @@
 	// base is the index after which entries are in flight, up to the one before
 	// next; it is below next.
 	base uint64
-	// probing is true from a rejected append until the server accepts one. Until
-	// then at most one append with entries is in flight.
+	// probing is true from when entries are sent again after a rejected append until
+	// the server accepts some of them. Until then at most one append with entries is
+	// in flight.
 	probing bool
 	// probeDeadline is until when rejections that return no earlier index than base
 	// are taken for answers to appends that were sent before the probe.
 	probeDeadline time.Time
+	// attempt grows each time that next is set back. A rejection that echoes an earlier
+	// attempt answers an append that was sent before. It is never zero, which is what a
+	// server echoes that does not know attempts.
+	attempt uint64
 	// round is the newest read round that the server has echoed.
 	round uint64
 	// lastContact is when the server last answered, or at first when the leader
 	// added it to its peers.
 	lastContact time.Time
-	// snapshotDeadline is when a snapshot that was sent is given up; zero or in
-	// the past while none is under way.
+	// snapshotDeadline is when a snapshot that was sent is given up, unless more of it
+	// reaches the server; zero or in the past while none is under way.
 	snapshotDeadline time.Time
 }
 
@@ -52,24 +57,47 @@
 		}
 		n.peers[id] = known[id]
 		if n.peers[id] == nil {
-			n.peers[id] = &progress{next: n.log.lastIndex() + 1, base: n.log.lastIndex(), lastContact: n.now}
+			n.peers[id] = &progress{next: n.log.lastIndex() + 1, base: n.log.lastIndex(), attempt: 1, lastContact: n.now}
 		}
 	}
 }
 
-// heartbeat sends an append to every server, if need be without entries. A server
-// that has lost entries rejects it, and gets them again.
+// heartbeat sends a heartbeat to every server, and a probe to those with entries in
+// flight.
 func (n *Node) heartbeat() {
 	n.nextHeartbeat = n.now.Add(n.options.HeartbeatInterval)
 	for _, id := range n.peerIDs() {
-		n.send(id, n.peers[id], true)
+		n.sendHeartbeat(id, n.peers[id])
+		n.sendProbe(id, n.peers[id])
+	}
+}
+
+// sendHeartbeat sends an append without entries at the newest index known to be on the
+// server. No server rejects it, whatever is still on the way, so that it may overtake
+// entries and snapshots.
+func (n *Node) sendHeartbeat(id string, p *progress) {
+	m := &replicav1.Message{Kind: replicav1.Message_KIND_APPEND, To: id, Commit: n.commit, Round: n.reads.round}
+	if t, ok := n.log.term(p.match); ok {
+		m.Index, m.IndexTerm = p.match, t
+	}
+	n.queueBeforeSync(m)
+}
+
+// sendProbe sends an append without entries behind the entries in flight, if any. A
+// server that has lost some of them rejects it, and gets them again.
+func (n *Node) sendProbe(id string, p *progress) {
+	if n.now.Before(p.snapshotDeadline) || p.next-1 <= p.match {
+		return
+	}
+	if _, ok := n.log.term(p.next - 1); ok {
+		n.sendAppend(id, p, nil)
 	}
 }
 
 // replicate sends each server the entries that were not sent to it yet.
 func (n *Node) replicate() {
 	for _, id := range n.peerIDs() {
-		for n.send(id, n.peers[id], false) {
+		for n.send(id, n.peers[id]) {
 		}
 	}
 }
@@ -96,14 +124,10 @@
 }
 
 // send sends the next entries to a server, as far as mayPipeline permits, and
-// reports whether it sent any. With allowEmpty it also sends an append without
-// entries. A server that needs entries that were compacted away gets a snapshot,
-// and until that is acknowledged only appends without entries.
-func (n *Node) send(id string, p *progress, allowEmpty bool) bool {
+// reports whether it sent any. A server that needs entries that were compacted away
+// gets a snapshot, and until that is acknowledged only heartbeats.
+func (n *Node) send(id string, p *progress) bool {
 	if n.now.Before(p.snapshotDeadline) {
-		if allowEmpty {
-			n.queueBeforeSync(&replicav1.Message{Kind: replicav1.Message_KIND_APPEND, To: id, Round: n.reads.round})
-		}
 		return false
 	}
 	if p.next <= n.log.offset && p.base < p.next-1 {
@@ -115,24 +139,24 @@
 		n.sendSnapshot(id, p)
 		return false
 	}
-	var entries []*replicav1.Entry
-	if n.mayPipeline(p) {
-		entries = n.nextBatch(p.next)
+	if !n.mayPipeline(p) {
+		return false
 	}
-	if len(entries) == 0 && !allowEmpty {
+	entries := n.nextBatch(p.next)
+	if len(entries) == 0 {
 		return false
 	}
 	n.sendAppend(id, p, entries)
-	return len(entries) > 0
+	return true
 }
 
 // sendAppend sends entries, which begin at the server's next index.
 func (n *Node) sendAppend(id string, p *progress, entries []*replicav1.Entry) {
-	m := &replicav1.Message{Kind: replicav1.Message_KIND_APPEND, To: id, Commit: n.commit, Round: n.reads.round, Entries: entries}
+	m := &replicav1.Message{Kind: replicav1.Message_KIND_APPEND, To: id, Commit: n.commit, Round: n.reads.round, Attempt: p.attempt, Entries: entries}
 	m.Index = p.next - 1
 	m.IndexTerm, _ = n.log.term(m.Index)
 	p.next += uint64(len(entries))
-	n.queueBeforeSync(m)
+	n.queueReplication(m)
 }
 
 // nextBatch returns entries from an index on, up to AppendBytes in size.
@@ -150,7 +174,17 @@
 	s := n.log.snapshot
 	p.snapshotDeadline = n.now.Add(snapshotTimeouts * n.options.ElectionTimeout)
 	p.next, p.base, p.probing = s.GetIndex()+1, s.GetIndex(), false
-	n.queueBeforeSync(&replicav1.Message{Kind: replicav1.Message_KIND_SNAPSHOT, To: id, Snapshot: s, Round: n.reads.round})
+	p.attempt++
+	n.queueReplication(&replicav1.Message{Kind: replicav1.Message_KIND_SNAPSHOT, To: id, Snapshot: s, Round: n.reads.round})
+}
+
+// KeepSnapshot tells a leader that a part of its messages has reached a server. A
+// snapshot that is under way to the server is not sent again for now.
+func (n *Node) KeepSnapshot(now time.Time, id string) {
+	n.advanceClock(now)
+	if p := n.peers[id]; p != nil && n.now.Before(p.snapshotDeadline) {
+		p.snapshotDeadline = n.now.Add(snapshotTimeouts * n.options.ElectionTimeout)
+	}
 }
 
 // handleReplication handles an append or a snapshot from the leader of the
@@ -160,8 +194,9 @@
 		n.becomeFollower(m.GetTerm(), m.GetFrom())
 	}
 	n.lastContact = n.now
+	n.leaderCommit = max(n.leaderCommit, m.GetCommit())
 	n.resetElectionDeadline()
-	answer := &replicav1.Message{Kind: replicav1.Message_KIND_APPEND_ANSWER, To: m.GetFrom(), Round: m.GetRound()}
+	answer := &replicav1.Message{Kind: replicav1.Message_KIND_APPEND_ANSWER, To: m.GetFrom(), Round: m.GetRound(), Attempt: m.GetAttempt()}
 	if m.GetKind() == replicav1.Message_KIND_SNAPSHOT {
 		answer.Index = n.installSnapshot(m.GetSnapshot())
 	} else {
@@ -182,7 +217,7 @@
 		return s.GetIndex()
 	}
 	n.log.restore(s)
-	n.commit, n.stable, n.delivered = s.GetIndex(), s.GetIndex(), s.GetIndex()
+	n.commit, n.stable, n.delivered, n.matched = s.GetIndex(), s.GetIndex(), s.GetIndex(), s.GetIndex()
 	n.pending.Snapshot = s
 	n.updateConfiguration()
 	return s.GetIndex()
@@ -215,7 +250,8 @@
 		n.updateConfiguration()
 	}
 	last := prev + uint64(len(m.GetEntries()))
-	n.commit = max(n.commit, min(m.GetCommit(), last))
+	n.matched = max(n.matched, last)
+	n.commit = max(n.commit, min(n.leaderCommit, n.matched))
 	return last, false
 }
 
@@ -226,7 +262,7 @@
 		panic((&InvariantError{Index: index, Commit: n.commit}).Error())
 	}
 	n.log.truncate(index)
-	n.stable = min(n.stable, index-1)
+	n.stable, n.matched = min(n.stable, index-1), min(n.matched, index-1)
 }
 
 // handleAppendAnswer handles a server's answer to an append or a snapshot.
@@ -242,7 +278,9 @@
 		n.handleRejectedAppend(m, p)
 		return
 	}
-	p.probing = false
+	if m.GetIndex() > p.base {
+		p.probing = false
+	}
 	if m.GetIndex() <= p.match {
 		return
 	}
@@ -259,10 +297,13 @@
 
 // handleRejectedAppend sends one batch of entries again, from the index that the
 // server returned with its rejection. The server also rejects all that was in
-// flight behind a lost message; these rejections, which return the same index, are
-// ignored.
+// flight behind a lost message; these rejections, which echo an earlier attempt or
+// return the same index, are ignored.
 func (n *Node) handleRejectedAppend(m *replicav1.Message, p *progress) {
 	base := max(p.match, m.GetIndex())
+	if m.GetAttempt() > 0 && m.GetAttempt() < p.attempt {
+		return
+	}
 	if n.now.Before(p.snapshotDeadline) || n.now.Before(p.probeDeadline) && base >= p.base {
 		return
 	}
@@ -271,8 +312,10 @@
 		n.sendSnapshot(m.GetFrom(), p)
 		return
 	}
-	p.probing, p.probeDeadline = true, n.now.Add(n.options.HeartbeatInterval/2)
-	n.sendAppend(m.GetFrom(), p, n.nextBatch(p.next))
+	p.attempt++
+	entries := n.nextBatch(p.next)
+	p.probing, p.probeDeadline = len(entries) > 0, n.now.Add(n.options.HeartbeatInterval/2)
+	n.sendAppend(m.GetFrom(), p, entries)
 }
 
 // commitQuorum commits the entries that are on the disks of a quorum, if the
--- a/replica/rules_test.go
+++ b/replica/rules_test.go
@@ -60,3 +60,45 @@
 		t.Errorf("membership change after an entry of the leader's own term was committed: %v", err)
 	}
 }
+
+// TestRejectionsOfOneLoss guards against entries that are sent again for each append that
+// was on its way behind a loss and is rejected, however late.
+func TestRejectionsOfOneLoss(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := New(Options{
+		ID: "a", ElectionTimeout: testElectionTimeout, HeartbeatInterval: testHeartbeatInterval, AppendBytes: 64,
+		Random: func(time.Duration) time.Duration { return 0 },
+	}, Stored{
+		State:    &replicav1.HardState{Term: 3},
+		Snapshot: &replicav1.Snapshot{Index: 1, Term: 1, Configuration: &replicav1.Configuration{Servers: []*replicav1.Server{{Id: "a"}, {Id: "b", Learner: true}}}},
+	}, now)
+	// settle returns the number of appends with entries.
+	settle := func() int {
+		count := 0
+		for r := n.Ready(); !r.Empty(); r = n.Ready() {
+			n.Saved()
+			for _, m := range r.Replication {
+				count += min(len(m.GetEntries()), 1)
+			}
+		}
+		return count
+	}
+	now = now.Add(testElectionTimeout)
+	n.Tick(now)
+	if got := settle(); got != 1 {
+		t.Fatalf("a new leader sent %d appends with entries, want 1", got)
+	}
+	reject := func(attempt uint64, want int) {
+		t.Helper()
+		now = now.Add(testHeartbeatInterval)
+		n.Step(now, &replicav1.Message{
+			Kind: replicav1.Message_KIND_APPEND_ANSWER, From: "b", To: "a", Term: 4, Index: 1, Rejected: true, Attempt: attempt,
+		})
+		if got := settle(); got != want {
+			t.Errorf("%d appends with entries were sent after a rejection of attempt %d, want %d", got, attempt, want)
+		}
+	}
+	reject(1, 1)
+	reject(1, 0)
+	reject(2, 1)
+}
