Keep bulk data between control hosts apart from votes and heartbeats

Callers saw leaders change and calls unanswered while large documents changed, and a host with an empty disk did not become a voter behind a slow path. There was one queue and one call at a time for each host: votes, heartbeats and answers waited behind entries.

A request above 128 KB is delivered in parts by the new call DeliverPart, each bounded by deliverTimeout, so that the time of a call covers a bounded size. The receiver joins the parts of at most one request of each sender, 64 MiB in all, and drops them when no part comes for 5 s. A host of an older build gets the whole request as before. Once a host has lost its disk, what waits for its former server is dropped. Connections for bulk data are closed when idle, as each costs pings.

TestMessagesBounded checks a lane, with the same bounds.

--- a/control/errors.go
+++ b/control/errors.go
@@ -97,6 +97,10 @@
 	if errors.As(err, &compacted) {
 		return connect.CodeOutOfRange, &controlv1.Refusal{Code: controlv1.Refusal_CODE_COMPACTED}
 	}
+	var part *PartError
+	if errors.As(err, &part) {
+		return connect.CodeFailedPrecondition, &controlv1.Refusal{}
+	}
 	var notLeader *NotLeaderError
 	if errors.As(err, &notLeader) {
 		r := &controlv1.Refusal{Code: controlv1.Refusal_CODE_NOT_LEADER}
--- a/control/loop.go
+++ b/control/loop.go
@@ -169,7 +169,7 @@
 			break
 		}
 		l.peers.send(l, r.BeforeSync)
-		l.peers.send(l, r.Replication)
+		l.peers.sendReplication(l, r.Replication)
 		if err := l.saveReady(ctx, &r); err != nil {
 			return err
 		}
--- a/control/member.go
+++ b/control/member.go
@@ -74,10 +74,11 @@
 	}
 }
 
-// runExpiry removes members and marks endpoints whose leases have expired, while
-// this host leads. It runs until the context ends.
+// runExpiry drops unfinished requests of other hosts and, while this host leads, removes
+// members and marks endpoints whose leases have expired. It runs until the context ends.
 func (s *Store) runExpiry(ctx context.Context) {
-	clock.Every(ctx, leaseCheckInterval, func(time.Time) {
+	clock.Every(ctx, leaseCheckInterval, func(now time.Time) {
+		s.parts.expire(now)
 		if s.Status().Leads {
 			s.removeExpiredMembers(ctx)
 			s.markExpiredEndpoints(ctx)
--- a/control/peers.go
+++ b/control/peers.go
@@ -6,11 +6,9 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/proto"
 
 	replicav1 "ebonyreel/proto/replica/v1"
 	"ebonyreel/proto/replica/v1/replicav1connect"
@@ -18,19 +16,6 @@
 	"ebonyreel/transport"
 )
 
-const (
-	// maxQueuedMessages is the number of messages that may wait for one host, and
-	// maxQueuedBytes their size, which one message may exceed. Further ones are
-	// dropped, and the replica sends them again.
-	maxQueuedMessages = 1024
-	maxQueuedBytes    = 16 << 20
-	// maxDeliverBytes is the size of the messages of one Deliver call above which no
-	// more are added to it.
-	maxDeliverBytes = 1 << 20
-	// deliverTimeout bounds one Deliver call.
-	deliverTimeout = time.Second
-)
-
 // peers holds the other control hosts, as the settings list them or as the
 // configuration in the log names them. It is safe for concurrent use, except for
 // hostNames, which only the loop uses.
@@ -43,8 +28,14 @@
 	// configured lists all hosts, this one included, if the settings do so;
 	// otherwise it is empty.
 	configured []settings.ControlHost
-	httpClient *http.Client
-	options    []connect.ClientOption
+	// urgentClient and bulkClient share no connection with each other or with the calls
+	// of this process that are forwarded.
+	urgentClient *http.Client
+	bulkClient   *http.Client
+	options      []connect.ClientOption
+	// partDelivered is called with the ID of a server that awaits a snapshot, when a part
+	// has reached its host. It may be nil.
+	partDelivered func(server string)
 	// hostNames maps a server ID to the name of its host.
 	hostNames map[string]string
 
@@ -61,11 +52,10 @@
 type host struct {
 	name    string
 	address netip.AddrPort
-	client  replicav1connect.ReplicaServiceClient
-	// queue holds the messages that wait for delivery.
-	queue chan queuedMessage
-	// queuedBytes is the size of the messages in queue.
-	queuedBytes atomic.Int64
+	// urgent delivers small messages, and bulk appends and snapshots. They share no
+	// connection, so that none of the former waits for the latter.
+	urgent *lane
+	bulk   *lane
 	// cancel stops the delivery.
 	cancel context.CancelFunc
 	// lastCall is when the host last called this one; zero for never. It is guarded
@@ -73,54 +63,10 @@
 	lastCall time.Time
 }
 
-// queuedMessage is a message that waits for delivery.
-type queuedMessage struct {
-	message *replicav1.Message
-	// bytes is the size of the message.
-	bytes int64
-}
-
-// enqueue queues a message for delivery, and reports whether there was room.
-func (h *host) enqueue(m *replicav1.Message) bool {
-	if h.queuedBytes.Load() >= maxQueuedBytes {
-		return false
-	}
-	q := queuedMessage{message: m, bytes: int64(proto.Size(m))}
-	h.queuedBytes.Add(q.bytes)
-	select {
-	case h.queue <- q:
-		return true
-	default:
-		h.queuedBytes.Add(-q.bytes)
-		return false
-	}
-}
-
-// next waits for the next messages for one Deliver call. It returns none once the
-// context has ended.
-func (h *host) next(ctx context.Context) []*replicav1.Message {
-	var out []*replicav1.Message
-	size := int64(0)
-	add := func(q queuedMessage) {
-		h.queuedBytes.Add(-q.bytes)
-		out, size = append(out, q.message), size+q.bytes
-	}
-	select {
-	case <-ctx.Done():
-		return nil
-	case q := <-h.queue:
-		add(q)
-	}
-	for len(h.queue) > 0 && len(out) < maxQueuedMessages && size < maxDeliverBytes {
-		add(<-h.queue)
-	}
-	return out
-}
-
 func newPeers(id string, s settings.Control, h *http.Client, options ...connect.ClientOption) *peers {
 	p := &peers{
 		id: id, self: settings.ControlHost{Name: s.Name, Address: s.Peers}, configured: s.Cluster, seeds: s.Seeds,
-		httpClient: h, options: options, hostNames: map[string]string{id: s.Name}, hosts: map[string]*host{},
+		urgentClient: transport.CloneClient(h, 0), bulkClient: transport.CloneClient(h, bulkIdleTimeout), options: options, hostNames: map[string]string{id: s.Name}, hosts: map[string]*host{},
 	}
 	for _, o := range s.Cluster {
 		p.setHost(o.Name, o.Address)
@@ -141,11 +87,12 @@
 func (p *peers) startDelivery(h *host) {
 	ctx, cancel := context.WithCancel(p.deliveryContext)
 	h.cancel = cancel
-	go p.deliver(ctx, h)
+	go p.deliver(ctx, h.urgent)
+	go p.deliver(ctx, h.bulk)
 }
 
 // setHost records the address of another host. A host whose address has changed
-// gets a new client and an empty queue.
+// gets new clients and empty queues.
 func (p *peers) setHost(name string, address netip.AddrPort) {
 	if name == p.self.Name || !address.IsValid() {
 		return
@@ -156,7 +103,8 @@
 	if old != nil && old.address == address {
 		return
 	}
-	h := &host{name: name, address: address, client: p.dial(address), queue: make(chan queuedMessage, maxQueuedMessages)}
+	bulk := replicav1connect.NewReplicaServiceClient(p.bulkClient, transport.URL(address), p.options...)
+	h := &host{name: name, address: address, urgent: newLane(p.dial(address)), bulk: newLane(bulk)}
 	p.hosts[name] = h
 	if old != nil && old.cancel != nil {
 		old.cancel()
@@ -167,7 +115,7 @@
 }
 
 func (p *peers) dial(address netip.AddrPort) replicav1connect.ReplicaServiceClient {
-	return replicav1connect.NewReplicaServiceClient(p.httpClient, transport.URL(address), p.options...)
+	return replicav1connect.NewReplicaServiceClient(p.urgentClient, transport.URL(address), p.options...)
 }
 
 // setSeeds replaces the addresses at which other hosts may be found.
@@ -199,7 +147,7 @@
 	defer p.mu.Unlock()
 	out := int64(0)
 	for _, h := range p.hosts {
-		out += h.queuedBytes.Load()
+		out += h.urgent.queuedBytes.Load() + h.bulk.queuedBytes.Load()
 	}
 	return out
 }
@@ -249,16 +197,25 @@
 	return p.hostNames[id]
 }
 
-// send queues messages for their hosts, and drops those for unknown hosts and
+// send queues small messages for their hosts, and drops those for unknown hosts and
 // full queues.
 func (p *peers) send(l *loop, messages []*replicav1.Message) {
+	p.enqueue(l, messages, func(h *host) *lane { return h.urgent })
+}
+
+// sendReplication queues appends and snapshots in the same way.
+func (p *peers) sendReplication(l *loop, messages []*replicav1.Message) {
+	p.enqueue(l, messages, func(h *host) *lane { return h.bulk })
+}
+
+func (p *peers) enqueue(l *loop, messages []*replicav1.Message, laneOf func(*host) *lane) {
 	for _, m := range messages {
 		h := p.hostOfServer(m.GetTo())
 		if h == nil {
 			p.learnConfiguration(l)
 			h = p.hostOfServer(m.GetTo())
 		}
-		if h == nil || !h.enqueue(m) {
+		if h == nil || !laneOf(h).enqueue(m) {
 			l.store.droppedMessages.Add(1)
 		}
 	}
@@ -276,20 +233,3 @@
 		p.learnServer(s.GetId(), s.GetName(), s.GetAddress())
 	}
 }
-
-// deliver sends the queued messages of one host until the context ends. Messages
-// that are already queued share one call, and calls do not overlap.
-func (p *peers) deliver(ctx context.Context, h *host) {
-	for {
-		r := &replicav1.DeliverRequest{Id: p.id, Name: p.self.Name, Address: p.self.Address.String(), Messages: h.next(ctx)}
-		if len(r.Messages) == 0 {
-			return
-		}
-		call, cancel := context.WithTimeout(ctx, deliverTimeout)
-		// The replica sends lost messages again.
-		start := time.Now()
-		_, err := h.client.Deliver(call, connect.NewRequest(r))
-		cancel()
-		p.deliveries.observe(start, err)
-	}
-}
--- a/control/peers_test.go
+++ b/control/peers_test.go
@@ -10,7 +10,7 @@
 // TestMessagesBounded guards against messages to a host that does not answer, which
 // were bounded by their number only, and all put into one call.
 func TestMessagesBounded(t *testing.T) {
-	h := &host{queue: make(chan queuedMessage, maxQueuedMessages)}
+	h := newLane(nil)
 	large := &replicav1.Message{Entries: []*replicav1.Entry{{Kind: &replicav1.Entry_Command{Command: make([]byte, 4<<20)}}}}
 	queued := 0
 	for h.enqueue(large) {
@@ -19,8 +19,8 @@
 	if queued != 4 {
 		t.Errorf("%d messages of 4 MiB were queued, want 4", queued)
 	}
-	if got := len(h.next(context.Background())); got != 1 {
-		t.Errorf("%d messages of 4 MiB are sent in one call, want 1", got)
+	if got, _ := h.next(context.Background()); len(got) != 1 {
+		t.Errorf("%d messages of 4 MiB are sent in one call, want 1", len(got))
 	}
 	if !h.enqueue(&replicav1.Message{}) {
 		t.Error("a message was not queued after there was room")
--- a/control/replica.go
+++ b/control/replica.go
@@ -40,6 +40,18 @@
 	return connect.NewResponse(&replicav1.DeliverResponse{}), nil
 }
 
+// DeliverPart joins the parts of a large request of another control host, and queues its
+// messages after the last one.
+func (r *ReplicaServer) DeliverPart(_ context.Context, q *connect.Request[replicav1.DeliverPartRequest]) (*connect.Response[replicav1.DeliverPartResponse], error) {
+	err := r.store.parts.add(time.Now(), q.Msg, func(d *replicav1.DeliverRequest) error {
+		return r.store.inputs.add(&delivery{request: d})
+	})
+	if err != nil {
+		return nil, toConnectError(err)
+	}
+	return connect.NewResponse(&replicav1.DeliverPartResponse{}), nil
+}
+
 // Join makes a host with an empty disk a learner, and a voter once its copy is
 // synced. The host repeats the call until it is a voter.
 func (r *ReplicaServer) Join(ctx context.Context, q *connect.Request[replicav1.JoinRequest]) (*connect.Response[replicav1.JoinResponse], error) {
--- a/control/retirement_test.go
+++ b/control/retirement_test.go
@@ -22,6 +22,7 @@
 	"ebonyreel/proto/replica/v1/replicav1connect"
 	"ebonyreel/replica"
 	"ebonyreel/settings"
+	"ebonyreel/transport"
 )
 
 const scriptTargetVoters = 3
@@ -124,7 +125,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(c.identities))
-	p := newPeers(id, settings.Control{Name: name, Peers: address}, nil)
+	p := newPeers(id, settings.Control{Name: name, Peers: address}, transport.NewClient())
 	l := &loop{store: &Store{id: id, targetVoters: scriptTargetVoters, peers: p}, peers: p, log: logrus.NewEntry(log)}
 	l.node = replica.New(replica.Options{
 		ID: id, ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, AppendBytes: maxAppendBytes,
@@ -197,7 +198,7 @@
 func (c *scriptCluster) process(h *scriptHost) {
 	for r := h.loop.node.Ready(); !r.Empty(); r = h.loop.node.Ready() {
 		h.loop.node.Saved()
-		for _, m := range append(r.BeforeSync, r.AfterSync...) {
+		for _, m := range slices.Concat(r.BeforeSync, r.Replication, r.AfterSync) {
 			for _, o := range c.hosts {
 				if o.loop.store.id != m.GetTo() {
 					continue
@@ -291,19 +292,24 @@
 	return nil, ctx.Err()
 }
 
+func (c *deafClient) DeliverPart(ctx context.Context, _ *connect.Request[replicav1.DeliverPartRequest]) (*connect.Response[replicav1.DeliverPartResponse], error) {
+	_, err := c.Deliver(ctx, nil)
+	return nil, err
+}
+
 // TestLostHostDropped guards against messages that wait for a host that is gone and no
 // longer in the configuration, and are sent to it.
 func TestLostHostDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		p := newPeers("a1", settings.Control{Name: "a", Peers: netip.MustParseAddrPort("127.0.0.1:1")}, nil)
+		p := newPeers("a1", settings.Control{Name: "a", Peers: netip.MustParseAddrPort("127.0.0.1:1")}, transport.NewClient())
 		p.learnServer("b1", "b", "127.0.0.1:2")
 		client := &deafClient{}
-		p.hosts["b"].client = client
+		p.hosts["b"].bulk = newLane(client)
 		p.start(ctx)
 		for range 1000 {
-			p.hosts["b"].enqueue(&replicav1.Message{Entries: []*replicav1.Entry{{Kind: &replicav1.Entry_Command{Command: make([]byte, 16<<10)}}}})
+			p.hosts["b"].bulk.enqueue(&replicav1.Message{Entries: []*replicav1.Entry{{Kind: &replicav1.Entry_Command{Command: make([]byte, 16<<10)}}}})
 		}
 		only := &replicav1.Configuration{Servers: []*replicav1.Server{{Id: "a1", Name: "a"}}}
 		both := &replicav1.Configuration{Servers: append(only.Servers, &replicav1.Server{Id: "b1", Name: "b", Address: "127.0.0.1:2"})}
--- a/control/store.go
+++ b/control/store.go
@@ -94,6 +94,8 @@
 	droppedMessages atomic.Uint64
 	// diskWaits are the times that the loop waits for its disk.
 	diskWaits recentMaximum
+	// parts joins the requests that other hosts send in parts.
+	parts partJoiner
 
 	mu sync.Mutex
 	// state is guarded by mu.
@@ -154,6 +156,7 @@
 		changed:           make(chan struct{}),
 		done:              make(chan struct{}),
 	}
+	st.peers.partDelivered = func(server string) { _ = st.inputs.add(&partDelivered{server: server}) }
 	if err := st.restore(content.Snapshot.GetState()); err != nil {
 		return nil, err
 	}
--- a/proof/control_slow_path_test.go
+++ b/proof/control_slow_path_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -30,17 +32,22 @@
 func TestControlJoinsOnSlowPath(t *testing.T) {
 	c := newCluster(t, "archive-trial")
 	h := c.startLinkedHosts(3)
-	h.leader()
-	h.processes[2].kill()
+	leader := h.leader()
+	lost := (leader + 1) % 3
+	h.processes[lost].kill()
 	for n := range slowDocuments {
 		submitLarge(t, c, uint64(n+1))
 	}
-	for _, i := range []int{0, 1} {
-		h.links[i][2].throttle(toServer, slowPathKilobytes)
+	for _, i := range []int{leader, 3 - leader - lost} {
+		eventually(t, 5*time.Second, h.processes[i].name+" has compacted its log", func() bool {
+			_, err := os.Stat(filepath.Join(c.dir, h.processes[i].name+".data", "snapshot"))
+			return err == nil
+		})
+		h.links[i][lost].throttle(toServer, slowPathKilobytes)
 	}
-	h.restartEmpty(2)
+	h.restartEmpty(lost)
 	start := time.Now()
-	eventually(t, slowJoinTarget, "the host behind the slow path is a voter", func() bool { return h.status(2).Voter })
+	eventually(t, slowJoinTarget, "the host behind the slow path is a voter", func() bool { return h.status(lost).Voter })
 	t.Logf("a voter after %s", time.Since(start))
 }
 
--- a/proto/replica/v1/replicav1connect/replica.connect.go
+++ b/proto/replica/v1/replicav1connect/replica.connect.go
@@ -37,6 +37,9 @@
 const (
 	// ReplicaServiceDeliverProcedure is the fully-qualified name of the ReplicaService's Deliver RPC.
 	ReplicaServiceDeliverProcedure = "/replica.v1.ReplicaService/Deliver"
+	// ReplicaServiceDeliverPartProcedure is the fully-qualified name of the ReplicaService's
+	// DeliverPart RPC.
+	ReplicaServiceDeliverPartProcedure = "/replica.v1.ReplicaService/DeliverPart"
 	// ReplicaServiceJoinProcedure is the fully-qualified name of the ReplicaService's Join RPC.
 	ReplicaServiceJoinProcedure = "/replica.v1.ReplicaService/Join"
 	// ReplicaServiceStatusProcedure is the fully-qualified name of the ReplicaService's Status RPC.
@@ -46,6 +49,9 @@
 // ReplicaServiceClient is a client for the replica.v1.ReplicaService service.
 type ReplicaServiceClient interface {
 	Deliver(context.Context, *connect.Request[v1.DeliverRequest]) (*connect.Response[v1.DeliverResponse], error)
+	// DeliverPart takes the parts of a large DeliverRequest in order. The last one
+	// delivers it.
+	DeliverPart(context.Context, *connect.Request[v1.DeliverPartRequest]) (*connect.Response[v1.DeliverPartResponse], error)
 	// Join asks for membership of a server with an empty disk.
 	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
@@ -68,6 +74,12 @@
 			connect.WithSchema(replicaServiceMethods.ByName("Deliver")),
 			connect.WithClientOptions(opts...),
 		),
+		deliverPart: connect.NewClient[v1.DeliverPartRequest, v1.DeliverPartResponse](
+			httpClient,
+			baseURL+ReplicaServiceDeliverPartProcedure,
+			connect.WithSchema(replicaServiceMethods.ByName("DeliverPart")),
+			connect.WithClientOptions(opts...),
+		),
 		join: connect.NewClient[v1.JoinRequest, v1.JoinResponse](
 			httpClient,
 			baseURL+ReplicaServiceJoinProcedure,
@@ -85,9 +97,10 @@
 
 // replicaServiceClient implements ReplicaServiceClient.
 type replicaServiceClient struct {
-	deliver *connect.Client[v1.DeliverRequest, v1.DeliverResponse]
-	join    *connect.Client[v1.JoinRequest, v1.JoinResponse]
-	status  *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	deliver     *connect.Client[v1.DeliverRequest, v1.DeliverResponse]
+	deliverPart *connect.Client[v1.DeliverPartRequest, v1.DeliverPartResponse]
+	join        *connect.Client[v1.JoinRequest, v1.JoinResponse]
+	status      *connect.Client[v1.StatusRequest, v1.StatusResponse]
 }
 
 // Deliver calls replica.v1.ReplicaService.Deliver.
@@ -95,6 +108,11 @@
 	return c.deliver.CallUnary(ctx, req)
 }
 
+// DeliverPart calls replica.v1.ReplicaService.DeliverPart.
+func (c *replicaServiceClient) DeliverPart(ctx context.Context, req *connect.Request[v1.DeliverPartRequest]) (*connect.Response[v1.DeliverPartResponse], error) {
+	return c.deliverPart.CallUnary(ctx, req)
+}
+
 // Join calls replica.v1.ReplicaService.Join.
 func (c *replicaServiceClient) Join(ctx context.Context, req *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
 	return c.join.CallUnary(ctx, req)
@@ -108,6 +126,9 @@
 // ReplicaServiceHandler is an implementation of the replica.v1.ReplicaService service.
 type ReplicaServiceHandler interface {
 	Deliver(context.Context, *connect.Request[v1.DeliverRequest]) (*connect.Response[v1.DeliverResponse], error)
+	// DeliverPart takes the parts of a large DeliverRequest in order. The last one
+	// delivers it.
+	DeliverPart(context.Context, *connect.Request[v1.DeliverPartRequest]) (*connect.Response[v1.DeliverPartResponse], error)
 	// Join asks for membership of a server with an empty disk.
 	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
@@ -126,6 +147,12 @@
 		connect.WithSchema(replicaServiceMethods.ByName("Deliver")),
 		connect.WithHandlerOptions(opts...),
 	)
+	replicaServiceDeliverPartHandler := connect.NewUnaryHandler(
+		ReplicaServiceDeliverPartProcedure,
+		svc.DeliverPart,
+		connect.WithSchema(replicaServiceMethods.ByName("DeliverPart")),
+		connect.WithHandlerOptions(opts...),
+	)
 	replicaServiceJoinHandler := connect.NewUnaryHandler(
 		ReplicaServiceJoinProcedure,
 		svc.Join,
@@ -142,6 +169,8 @@
 		switch r.URL.Path {
 		case ReplicaServiceDeliverProcedure:
 			replicaServiceDeliverHandler.ServeHTTP(w, r)
+		case ReplicaServiceDeliverPartProcedure:
+			replicaServiceDeliverPartHandler.ServeHTTP(w, r)
 		case ReplicaServiceJoinProcedure:
 			replicaServiceJoinHandler.ServeHTTP(w, r)
 		case ReplicaServiceStatusProcedure:
@@ -159,6 +188,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("replica.v1.ReplicaService.Deliver is not implemented"))
 }
 
+func (UnimplementedReplicaServiceHandler) DeliverPart(context.Context, *connect.Request[v1.DeliverPartRequest]) (*connect.Response[v1.DeliverPartResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("replica.v1.ReplicaService.DeliverPart is not implemented"))
+}
+
 func (UnimplementedReplicaServiceHandler) Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("replica.v1.ReplicaService.Join is not implemented"))
 }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -93,6 +93,18 @@
 	return &http.Client{Transport: t}
 }
 
+// CloneClient returns a client with the same settings, which shares no connection with
+// the other one. It closes connections that are idle for a time, unless that is zero.
+func CloneClient(c *http.Client, idleTimeout time.Duration) *http.Client {
+	out := *c
+	if t, ok := c.Transport.(*http.Transport); ok {
+		t = t.Clone()
+		t.IdleConnTimeout = idleTimeout
+		out.Transport = t
+	}
+	return &out
+}
+
 // NewServer returns a server for RPCs and plain HTTP on one address. It supports
 // HTTP/1.1 and HTTP/2.
 func NewServer(h http.Handler) *http.Server {
