Give an attempt to submit a document time by its size

Operators whose document was large and whose control hosts were behind slow paths never got an answer: the client gave up each attempt after 2 s, whatever its size, and the next attempt proposed the same document once more behind the one before it.

--- a/controls/client.go
+++ b/controls/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"ebonyreel/clock"
 	controlv1 "ebonyreel/proto/control/v1"
@@ -25,6 +26,9 @@
 const (
 	// attemptTimeout bounds one attempt of a call at one control host.
 	attemptTimeout = 2 * time.Second
+	// minSubmitRate is the number of bytes of a document in a second that a control host
+	// takes and replicates at the least. An attempt to submit may last longer by this.
+	minSubmitRate = 1 << 20
 	// retryTimeout is the time after which a call starts no further round of
 	// attempts at all hosts. It covers an election.
 	retryTimeout = 4 * time.Second
@@ -149,11 +153,16 @@
 // call of the service may be repeated. The error is a *NoAnswerError if no host
 // gave a conclusive answer.
 func (c *Client) callAny(ctx context.Context, f callFunc) error {
+	return c.callAnyWithin(ctx, attemptTimeout, f)
+}
+
+// callAnyWithin does the same with another bound for one attempt.
+func (c *Client) callAnyWithin(ctx context.Context, timeout time.Duration, f callFunc) error {
 	var lastErr error
 	for start := time.Now(); ; {
 		h, n := c.preferredHost()
 		for range n {
-			err := callHost(ctx, h.client, f)
+			err := callHost(ctx, timeout, h.client, f)
 			if err == nil || !retryable(err) {
 				return err
 			}
@@ -199,8 +208,8 @@
 	return slices.ContainsFunc(c.hosts, func(h host) bool { return h.address == a })
 }
 
-func callHost(ctx context.Context, client controlv1connect.ControlServiceClient, f callFunc) error {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+func callHost(ctx context.Context, timeout time.Duration, client controlv1connect.ControlServiceClient, f callFunc) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return f(ctx, client)
 }
@@ -233,7 +242,8 @@
 // document was accepted before.
 func (c *Client) Submit(ctx context.Context, r *controlv1.SubmitRequest) (*controlv1.SubmitResponse, error) {
 	var out *controlv1.SubmitResponse
-	err := c.callAny(ctx, func(ctx context.Context, p controlv1connect.ControlServiceClient) error {
+	timeout := attemptTimeout + time.Duration(proto.Size(r))*time.Second/minSubmitRate
+	err := c.callAnyWithin(ctx, timeout, func(ctx context.Context, p controlv1connect.ControlServiceClient) error {
 		res, err := p.Submit(ctx, connect.NewRequest(r))
 		if err != nil {
 			return err
