End watches at a control host that hears its leader but is behind it

A host serves watches while it has contact with the leader. Entries notice only by the second renewal of their lease, a second apart.

The leader tells its commit index with each heartbeat. A host is current until the newest such index that it has applied was told, and ends its watches when that was longer ago than a second, as it does without contact. Its watchers go on at another host. A new leader may not know all that is committed before an entry of its own term is; until then neither it nor its followers are taken for current (found by the review).

go test ./replica -run TestScripts/behind, ./control -run TestWatchEndsBehind: with contact in place of the commit index the script finds the host that gets no entries for 3 s current ("now"), and the watch does not end; both pass now. Without the term, behind_new_leader finds both hosts current 5 s after a commit that neither knows.

--- a/control/errors.go
+++ b/control/errors.go
@@ -40,11 +40,11 @@
 }
 
 // NoContactError reports that the host has had no contact with a leader within
-// leaderContactTimeout.
+// leaderContactTimeout, or has been behind it for as long.
 type NoContactError struct{}
 
 func (*NoContactError) Error() string {
-	return "this control host is not in touch with a leader"
+	return "this control host is not in touch with a leader, or is behind it"
 }
 
 // UnknownHostError reports a host that asks to join but is not listed in the
--- a/control/server.go
+++ b/control/server.go
@@ -25,7 +25,7 @@
 	progressInterval    = time.Second
 	minProgressInterval = 100 * time.Millisecond
 	// contactCheckInterval is the time between checks that the host has contact
-	// with the leader.
+	// with the leader and is not behind it.
 	contactCheckInterval = 200 * time.Millisecond
 )
 
@@ -114,7 +114,8 @@
 
 // Watch streams the events under a prefix from a revision on. It sends a message
 // at least once each progress interval; one without events is a progress mark.
-// The stream ends with an error when the host loses contact with the leader.
+// The stream ends with an error when the host loses contact with the leader or falls
+// behind it.
 func (s *Server) Watch(ctx context.Context, r *connect.Request[controlv1.WatchRequest], out *connect.ServerStream[controlv1.WatchResponse]) error {
 	next := r.Msg.GetFromRevision()
 	keys := state.Range{Prefix: r.Msg.GetPrefix(), ExcludedPrefix: r.Msg.GetWithout()}
@@ -146,7 +147,7 @@
 	contact := time.NewTicker(contactCheckInterval)
 	defer contact.Stop()
 	for {
-		if !s.store.HasContact() {
+		if !s.store.IsCurrent() {
 			return toConnectError(&NoContactError{})
 		}
 		select {
--- a/control/store.go
+++ b/control/store.go
@@ -27,7 +27,7 @@
 	// leaseCheckInterval is the time between checks for expired leases.
 	leaseCheckInterval = 250 * time.Millisecond
 	// leaderContactTimeout is how long watches are served without contact with a
-	// leader, whose heartbeats come ten times a second. A document has to be in
+	// leader, whose heartbeats come ten times a second, or by a host that is behind. A document has to be in
 	// force everywhere within 2 s of its acceptance, also at processes that watch
 	// a host that is cut off.
 	leaderContactTimeout = time.Second
@@ -67,6 +67,8 @@
 	// heardAt maps the name of each other host in the configuration to when this host, as
 	// the leader, last heard it; empty while it does not lead.
 	heardAt map[string]time.Time
+	// currentAt is the latest time at which the state is known to have been current.
+	currentAt time.Time
 }
 
 // Store applies the commands of the replicated log to the state and lets
@@ -270,6 +272,12 @@
 	return st.hasContact()
 }
 
+// IsCurrent reports whether the state was current within leaderContactTimeout. Contact
+// with the leader is not enough: entries or a snapshot may still be on their way.
+func (s *Store) IsCurrent() bool {
+	return time.Since(s.Status().currentAt) < leaderContactTimeout
+}
+
 // targetVoters returns the number of voters once all hosts have joined.
 func targetVoters(s settings.Control) int {
 	if len(s.Cluster) > 0 {
@@ -313,7 +321,7 @@
 		Leads: leads, Leader: s.peers.hostName(r.Leader), Address: leader, Empty: len(r.Configuration.GetServers()) == 0,
 		Voter: s.isVoter(r.Configuration), Servers: serverNames(r.Configuration, false), Learners: serverNames(r.Configuration, true), Controls: s.hostAddresses(r.Configuration),
 		Term: r.Term, Commit: r.Commit, LogBytes: r.LogBytes, SnapshotBytes: r.SnapshotBytes, lastContact: lastContact,
-		heardAt: heardAt,
+		heardAt: heardAt, currentAt: r.CurrentAt,
 	}
 }
 
--- a/replica/ready.go
+++ b/replica/ready.go
@@ -65,6 +65,7 @@
 	if to := min(n.commit, n.stable); to > n.delivered {
 		r.Committed = n.log.entriesBetween(n.delivered, to)
 		n.delivered = to
+		n.advanceFreshness()
 	}
 	return r
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -116,6 +116,7 @@
 	// Messages that overtake each other may tell one long before the other.
 	matched      uint64
 	leaderCommit uint64
+	freshness    freshness
 	reads        readQueue
 	// transferTarget is the ID of the server that is to take over the
 	// leadership; empty while no transfer is under way.
@@ -298,7 +299,10 @@
 	// quorum, within the election timeout.
 	HasContact bool
 	// Reason says why the node last began a campaign or became a follower.
-	Reason        string
+	Reason string
+	// CurrentAt is the latest time at which the node is known to have had all entries
+	// that were committed then; zero if there is none.
+	CurrentAt     time.Time
 	Configuration *replicav1.Configuration
 	// LogBytes is the size of the entries in memory, and SnapshotBytes that of the
 	// state in the newest snapshot.
@@ -313,11 +317,11 @@
 		LogBytes: n.log.size(0, n.log.lastIndex()), SnapshotBytes: len(n.log.snapshot.GetState()),
 	}
 	n.advanceClock(now)
-	if n.role == Leader {
-		s.HasContact = n.hasLiveQuorum()
-	} else {
-		s.HasContact = n.hasLiveLeader()
+	s.HasContact = n.hasLiveLeader()
+	if n.role == Leader && s.HasContact && n.committedInTerm() && n.delivered == n.commit {
+		n.freshness.current(n.now)
 	}
+	s.CurrentAt = n.freshness.currentAt
 	return s
 }
 
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -126,6 +126,8 @@
 		c.process(h)
 	case "cut":
 		c.blocked[args[0]+">"+args[1]] = true
+	case "current":
+		return c.current(h)
 	case "lose":
 		c.network = nil
 	case "heal":
@@ -138,6 +140,18 @@
 	return ""
 }
 
+// current tells when a host was last known to have all committed entries.
+func (c *cluster) current(h *host) string {
+	at := h.node.Status(c.now).CurrentAt
+	if at.IsZero() {
+		return "never\n"
+	}
+	if behind := c.now.Sub(at); behind > 2*testHeartbeatInterval {
+		return fmt.Sprintf("%v ago\n", behind.Round(100*time.Millisecond))
+	}
+	return "now\n"
+}
+
 // crashDuringDelivery delivers the messages in the network to a host, crashes it
 // before it has saved the first record, and starts it again.
 func (c *cluster) crashDuringDelivery(h *host) {
--- a/replica/replication.go
+++ b/replica/replication.go
@@ -201,6 +201,8 @@
 		answer.Index = n.installSnapshot(m.GetSnapshot())
 	} else {
 		answer.Index, answer.Rejected = n.appendFromLeader(m)
+		n.freshness.note(commitNotice{index: m.GetCommit(), term: m.GetTerm(), at: n.now})
+		n.advanceFreshness()
 	}
 	n.queueAfterSync(answer)
 }
@@ -218,6 +220,7 @@
 	}
 	n.log.restore(s)
 	n.commit, n.stable, n.delivered, n.matched = s.GetIndex(), s.GetIndex(), s.GetIndex(), s.GetIndex()
+	n.advanceFreshness()
 	n.pending.Snapshot = s
 	n.updateConfiguration()
 	return s.GetIndex()
