Fill the disk for longer than both calls of a test take

The two calls of TestFullDiskAcknowledgesNothing together may take as long as the disk was full, so that the second could be acknowledged right after it had room, by the new leader.

--- a/control/announcement_disk_test.go
+++ b/control/announcement_disk_test.go
@@ -26,7 +26,7 @@
 	if err := announce(1); err != nil {
 		t.Fatal(err)
 	}
-	h.disk.fill("", 4*time.Second, false)
+	h.disk.fill("", 6*time.Second, false)
 	_ = d.submit(context.Background(), h, attemptTimeout)
 	if h.disk.isFull() && announce(2) == nil {
 		t.Error("a host that waits for its disk has acknowledged an announcement")
