End a call to a leader that no longer leads

Operators whose change reached a follower were answered 503 after 2 s, although another host led: the follower passes the change on to the leader that it knows, and a leader that waits for its disk answers nothing until there is room. Announcements were held up the same way, 0.5 s a batch. While one disk after the other is full, this hits one leader after the other.

The call ends as soon as the host knows another leader, and goes there; such calls are safe to repeat. TestCallFollowsLeader: "context deadline exceeded after calls to the leaders [0.0.0.0:1]" before, passes now.

--- a/control/errors.go
+++ b/control/errors.go
@@ -31,6 +31,16 @@
 	return "the control host at " + e.Address.String() + " leads"
 }
 
+// LeaderChangedError reports that another control host has begun to lead during a call.
+type LeaderChangedError struct {
+	// Former is the address of the leader that was called.
+	Former netip.AddrPort
+}
+
+func (e *LeaderChangedError) Error() string {
+	return "the control host at " + e.Former.String() + " no longer leads"
+}
+
 // NotReadyError reports that too few control hosts are voters to accept the
 // first command.
 type NotReadyError struct{}
--- a/control/gateway.go
+++ b/control/gateway.go
@@ -136,7 +136,9 @@
 			return err
 		}
 		if notLeader.Address.IsValid() {
-			if err = remote(ctx, g.client(notLeader.Address)); controls.RefusalFrom(err).GetCode() != controlv1.Refusal_CODE_NOT_LEADER {
+			var changed *LeaderChangedError
+			err = g.callRemote(ctx, notLeader.Address, remote)
+			if !errors.As(err, &changed) && controls.RefusalFrom(err).GetCode() != controlv1.Refusal_CODE_NOT_LEADER {
 				return err
 			}
 		}
@@ -146,6 +148,25 @@
 	}
 }
 
+// callRemote calls remote at a leader. The call ends with a *LeaderChangedError once this
+// host knows another leader, as the former one may not answer for as long as its disk is
+// full.
+func (g *Gateway) callRemote(ctx context.Context, leader netip.AddrPort, remote func(context.Context, controlv1connect.ControlServiceClient) error) error {
+	call, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go clock.Every(call, noLeaderRetryInterval, func(time.Time) {
+		if s := g.store.Status(); s.Leads || s.Address.IsValid() && s.Address != leader {
+			cancel(&LeaderChangedError{Former: leader})
+		}
+	})
+	err := remote(call, g.client(leader))
+	var changed *LeaderChangedError
+	if err != nil && errors.As(context.Cause(call), &changed) {
+		return changed
+	}
+	return err
+}
+
 func (g *Gateway) client(a netip.AddrPort) controlv1connect.ControlServiceClient {
 	g.mu.Lock()
 	defer g.mu.Unlock()
