--- a/control/loop.go
+++ b/control/loop.go
@@ -302,7 +302,9 @@
 	changed := s.Term != l.lastStatus.Term || s.Leader != l.lastStatus.Leader
 	l.lastStatus = s
 	if changed {
-		l.log.WithFields(logrus.Fields{"Term": s.Term, "Role": s.Role.String(), "Leader": l.peers.hostName(s.Leader), "Reason": s.Reason}).Info("leadership changed")
+		l.log.WithFields(logrus.Fields{
+			"Term": s.Term, "Role": s.Role.String(), "Leader": l.peers.hostName(s.Leader), "Reason": s.Reason,
+		}).Info("leadership changed")
 		l.failPending()
 	}
 	leads := s.Role == replica.Leader && l.node.Term(l.applied) == s.Term
--- a/control/peers.go
+++ b/control/peers.go
@@ -66,7 +66,8 @@
 func newPeers(id string, s settings.Control, h *http.Client, options ...connect.ClientOption) *peers {
 	p := &peers{
 		id: id, self: settings.ControlHost{Name: s.Name, Address: s.Peers}, configured: s.Cluster, seeds: s.Seeds,
-		urgentClient: transport.CloneClient(h, 0), bulkClient: transport.CloneClient(h, bulkIdleTimeout), options: options, hostNames: map[string]string{id: s.Name}, hosts: map[string]*host{},
+		urgentClient: transport.CloneClient(h, 0), bulkClient: transport.CloneClient(h, bulkIdleTimeout), options: options,
+		hostNames: map[string]string{id: s.Name}, hosts: map[string]*host{},
 	}
 	for _, o := range s.Cluster {
 		p.setHost(o.Name, o.Address)
@@ -163,6 +164,59 @@
 	return len(p.seeds) > 0 && p.seeds[0] == p.self.Address
 }
 
+// recordCall records that a host has called this one.
+func (p *peers) recordCall(name string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[name]; h != nil {
+		h.lastCall = now
+	}
+}
+
+// sinceCall returns the time since a host last called this one. It is very long for one
+// that never did.
+func (p *peers) sinceCall(name string, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var last time.Time
+	if h := p.hosts[name]; h != nil {
+		last = h.lastCall
+	}
+	return now.Sub(last)
+}
+
+// update learns the hosts in the configuration, and drops those that are not in it and
+// have not called for learnerTimeout, with the messages that wait for them. A host that
+// is not in it yet, or no longer, and calls gets answers.
+func (p *peers) update(now time.Time, c *replicav1.Configuration) {
+	if len(p.configured) > 0 || len(c.GetServers()) == 0 {
+		return
+	}
+	ids, names := map[string]bool{p.id: true}, map[string]bool{}
+	for _, s := range c.GetServers() {
+		ids[s.GetId()], names[s.GetName()] = true, true
+		if p.hostOfServer(s.GetId()) == nil {
+			p.learnServer(s.GetId(), s.GetName(), s.GetAddress())
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, h := range p.hosts {
+		if names[name] || now.Sub(h.lastCall) < learnerTimeout {
+			continue
+		}
+		delete(p.hosts, name)
+		if h.cancel != nil {
+			h.cancel()
+		}
+	}
+	for id, name := range p.hostNames {
+		if !ids[id] && p.hosts[name] == nil {
+			delete(p.hostNames, id)
+		}
+	}
+}
+
 // mayJoin reports whether the settings permit a host in the configuration.
 func (p *peers) mayJoin(name string) bool {
 	return len(p.configured) == 0 || slices.ContainsFunc(p.configured, func(h settings.ControlHost) bool { return h.Name == name })
--- a/control/retirement.go
+++ b/control/retirement.go
@@ -25,8 +25,8 @@
 	targetVoters int
 	// keepVoters is true if lost voters stay until the settings no longer list them.
 	keepVoters bool
-	// promotes is true while learners that are synced are promoted.
-	promotes bool
+	// mayPromote is true while learners that are synced are promoted.
+	mayPromote bool
 }
 
 // serverState is what the leader knows of a server in the configuration.
@@ -34,8 +34,8 @@
 	server *replicav1.Server
 	// permitted is true if the settings permit the server's host.
 	permitted bool
-	// silence is the time since the leader last had contact with the server.
-	silence time.Duration
+	// sinceContact is the time since the leader last had contact with the server.
+	sinceContact time.Duration
 	// synced is true if the server has all committed entries.
 	synced bool
 }
@@ -60,7 +60,7 @@
 		return nil
 	}
 	for _, s := range r.servers {
-		lost := !r.keepVoters && s.silence >= voterTimeout
+		lost := !r.keepVoters && s.sinceContact >= voterTimeout
 		if !s.server.GetLearner() && (!s.permitted || lost) {
 			return s.server
 		}
@@ -75,9 +75,9 @@
 	for _, s := range r.servers {
 		switch {
 		case !s.server.GetLearner():
-		case r.promotes && s.permitted && s.synced:
+		case r.mayPromote && s.permitted && s.synced:
 			return nil
-		case next == nil && (!s.permitted || s.silence >= learnerTimeout):
+		case next == nil && (!s.permitted || s.sinceContact >= learnerTimeout):
 			next = s.server
 		}
 	}
@@ -103,70 +103,18 @@
 func (l *loop) retirement(now time.Time) *retirement {
 	r := &retirement{
 		targetVoters: l.store.targetVoters, keepVoters: len(l.peers.configured) > 0,
-		promotes: l.healthyVoterCount() < l.store.targetVoters,
+		mayPromote: l.healthyVoterCount() < l.store.targetVoters,
 	}
 	for _, s := range l.lastStatus.Configuration.GetServers() {
 		state := serverState{
-			server: s, permitted: l.peers.mayJoin(s.GetName()), silence: l.node.SinceContact(s.GetId()), synced: l.node.Synced(s.GetId()),
+			server: s, permitted: l.peers.mayJoin(s.GetName()), synced: l.node.Synced(s.GetId()),
+			sinceContact: l.node.SinceContact(s.GetId()),
 		}
 		if s.GetLearner() {
 			// A learner that receives nothing from the leader still asks to join.
-			state.silence = min(state.silence, l.peers.sinceCall(s.GetName(), now))
+			state.sinceContact = min(state.sinceContact, l.peers.sinceCall(s.GetName(), now))
 		}
 		r.servers = append(r.servers, state)
 	}
 	return r
 }
-
-// recordCall records that a host has called this one.
-func (p *peers) recordCall(name string, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if h := p.hosts[name]; h != nil {
-		h.lastCall = now
-	}
-}
-
-// sinceCall returns the time since a host last called this one. It is very long for one
-// that never did.
-func (p *peers) sinceCall(name string, now time.Time) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var last time.Time
-	if h := p.hosts[name]; h != nil {
-		last = h.lastCall
-	}
-	return now.Sub(last)
-}
-
-// update learns the hosts in the configuration, and drops those that are not in it and
-// have not called for learnerTimeout, with the messages that wait for them. A host that
-// is not in it yet, or no longer, and calls gets answers.
-func (p *peers) update(now time.Time, c *replicav1.Configuration) {
-	if len(p.configured) > 0 || len(c.GetServers()) == 0 {
-		return
-	}
-	ids, names := map[string]bool{p.id: true}, map[string]bool{}
-	for _, s := range c.GetServers() {
-		ids[s.GetId()], names[s.GetName()] = true, true
-		if p.hostOfServer(s.GetId()) == nil {
-			p.learnServer(s.GetId(), s.GetName(), s.GetAddress())
-		}
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for name, h := range p.hosts {
-		if names[name] || now.Sub(h.lastCall) < learnerTimeout {
-			continue
-		}
-		delete(p.hosts, name)
-		if h.cancel != nil {
-			h.cancel()
-		}
-	}
-	for id, name := range p.hostNames {
-		if !ids[id] && p.hosts[name] == nil {
-			delete(p.hostNames, id)
-		}
-	}
-}
--- a/control/store.go
+++ b/control/store.go
@@ -27,9 +27,9 @@
 	// leaseCheckInterval is the time between checks for expired leases.
 	leaseCheckInterval = 250 * time.Millisecond
 	// leaderContactTimeout is how long watches are served without contact with a
-	// leader, whose heartbeats come ten times a second, or by a host that is behind. A document has to be in
-	// force everywhere within 2 s of its acceptance, also at processes that watch
-	// a host that is cut off.
+	// leader, whose heartbeats come ten times a second, or by a host that is behind.
+	// A document has to be in force everywhere within 2 s of its acceptance, also at
+	// processes that watch a host that is cut off.
 	leaderContactTimeout = time.Second
 )
 
@@ -319,8 +319,9 @@
 	}
 	s.status = Status{
 		Leads: leads, Leader: s.peers.hostName(r.Leader), Address: leader, Empty: len(r.Configuration.GetServers()) == 0,
-		Voter: s.isVoter(r.Configuration), Servers: serverNames(r.Configuration, false), Learners: serverNames(r.Configuration, true), Controls: s.hostAddresses(r.Configuration),
-		Term: r.Term, Commit: r.Commit, LogBytes: r.LogBytes, SnapshotBytes: r.SnapshotBytes, lastContact: lastContact,
+		Voter: s.isVoter(r.Configuration), Servers: serverNames(r.Configuration, false), Learners: serverNames(r.Configuration, true),
+		Controls: s.hostAddresses(r.Configuration),
+		Term:     r.Term, Commit: r.Commit, LogBytes: r.LogBytes, SnapshotBytes: r.SnapshotBytes, lastContact: lastContact,
 		heardAt: heardAt, currentAt: r.CurrentAt,
 	}
 }
