Tell the servers of the committed configuration

Operators who replaced control hosts one after the other, each once the last replacement was listed as a voter, could lose the quorum for good: no host led, and no change was accepted or read any more. A host told the newest configuration in its log, committed or not. After a promotion four voters count for a moment, one of them lost; the removal of the lost one is told as soon as the leader has written it. If the leader is replaced before another host has it, two of four are left, and neither leads.

Servers, Learners and Voter in the status and in the metrics are those of the newest configuration that is known to be committed. Decisions use the newest one, as before.

--- a/control/store.go
+++ b/control/store.go
@@ -45,10 +45,11 @@
 	// Empty is true while the host has no configuration, and so neither state nor
 	// other hosts.
 	Empty bool
-	// Voter is true while the host is a voter.
+	// Voter is true while the host is a voter in the newest configuration that is known
+	// to be committed.
 	Voter bool
-	// Servers are the names of the hosts that are voters, and Learners those of the
-	// others in the configuration.
+	// Servers are the names of the hosts that are voters in that configuration, and
+	// Learners those of the others.
 	Servers  []string
 	Learners []string
 	// Controls are the known addresses of the hosts in the configuration, learners
@@ -319,7 +320,8 @@
 	}
 	s.status = Status{
 		Leads: leads, Leader: s.peers.hostName(r.Leader), Address: leader, Empty: len(r.Configuration.GetServers()) == 0,
-		Voter: s.isVoter(r.Configuration), Servers: serverNames(r.Configuration, false), Learners: serverNames(r.Configuration, true),
+		Voter: s.isVoter(r.CommittedConfiguration), Servers: serverNames(r.CommittedConfiguration, false),
+		Learners: serverNames(r.CommittedConfiguration, true),
 		Controls: s.hostAddresses(r.Configuration),
 		Term:     r.Term, Commit: r.Commit, LogBytes: r.LogBytes, SnapshotBytes: r.SnapshotBytes, lastContact: lastContact,
 		heardAt: heardAt, currentAt: r.CurrentAt,
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -304,6 +304,9 @@
 	// that were committed then; zero if there is none.
 	CurrentAt     time.Time
 	Configuration *replicav1.Configuration
+	// CommittedConfiguration is the newest one that is known to be committed. Until a
+	// change is, the loss of a leader may undo it.
+	CommittedConfiguration *replicav1.Configuration
 	// LogBytes is the size of the entries in memory, and SnapshotBytes that of the
 	// state in the newest snapshot.
 	LogBytes      int
@@ -313,9 +316,13 @@
 // Status returns the status of the node at a time.
 func (n *Node) Status(now time.Time) Status {
 	s := Status{
-		Role: n.role, Leader: n.leader, Term: n.state.GetTerm(), Commit: n.commit, Reason: n.reason, Configuration: n.configuration,
+		Role: n.role, Leader: n.leader, Term: n.state.GetTerm(), Commit: n.commit, Reason: n.reason,
+		Configuration: n.configuration, CommittedConfiguration: n.configuration,
 		LogBytes: n.log.size(0, n.log.lastIndex()), SnapshotBytes: len(n.log.snapshot.GetState()),
 	}
+	if n.configurationIndex > n.commit {
+		s.CommittedConfiguration = n.Configuration(n.commit)
+	}
 	n.advanceClock(now)
 	s.HasContact = n.hasLiveLeader()
 	if n.role == Leader && s.HasContact && n.committedInTerm() && n.delivered == n.commit {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -128,6 +128,8 @@
 		c.blocked[args[0]+">"+args[1]] = true
 	case "current":
 		return c.current(h)
+	case "committed-servers":
+		return c.committedServers(h)
 	case "lose":
 		c.network = nil
 	case "heal":
@@ -140,6 +142,20 @@
 	return ""
 }
 
+// committedServers returns the IDs of the servers in the newest configuration that a host
+// knows to be committed. Learners are in parentheses.
+func (c *cluster) committedServers(h *host) string {
+	var out []string
+	for _, s := range h.node.Status(c.now).CommittedConfiguration.GetServers() {
+		if s.GetLearner() {
+			out = append(out, "("+s.GetId()+")")
+		} else {
+			out = append(out, s.GetId())
+		}
+	}
+	return strings.Join(out, " ") + "\n"
+}
+
 // current tells when a host was last known to have all committed entries.
 func (c *cluster) current(h *host) string {
 	at := h.node.Status(c.now).CurrentAt
