Count the silence of a lost leader from when it was last heard

A replacement of a lost leader could take longer than the 4 s that it has: the others notice the loss after up to 1.4 s and elect one of them, and the new leader counted the 2 s without contact, after which a lost voter is replaced, from its own beginning.

A new leader has heard the one before it as a follower, and knows since when it is silent. It counts from there, by two election timeouts at most, so that a former leader that is alive has time to answer the new one.

--- a/replica/election.go
+++ b/replica/election.go
@@ -120,11 +120,26 @@
 	n.role, n.leader = Leader, n.options.ID
 	n.peers = map[string]*progress{}
 	n.updatePeers()
+	n.countFormerLeader()
 	n.electionDeadline = n.now.Add(n.options.ElectionTimeout)
 	n.appendEntry(&replicav1.Entry{})
 	n.heartbeat()
 }
 
+// countFormerLeader counts the time without contact with the leader before this one from
+// when it was last heard, so that a lost one is replaced no later than another server. At
+// most two election timeouts count, in which it can't have heard of this leader yet.
+func (n *Node) countFormerLeader() {
+	p := n.peers[n.lastLeader]
+	if p == nil {
+		return
+	}
+	p.lastContact = n.lastContact
+	if earliest := n.now.Add(-2 * n.options.ElectionTimeout); p.lastContact.Before(earliest) {
+		p.lastContact = earliest
+	}
+}
+
 // hasLiveQuorum reports whether a quorum, this leader included, was heard
 // within the election timeout.
 func (n *Node) hasLiveQuorum() bool {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -109,8 +109,10 @@
 	electionDeadline time.Time
 	// nextHeartbeat is when a leader sends its next heartbeat.
 	nextHeartbeat time.Time
-	// lastContact is when this node last heard the leader of the term.
+	// lastContact is when this node last heard the leader of the term, and lastLeader the
+	// ID of that leader. Both outlast the term.
 	lastContact time.Time
+	lastLeader  string
 	// matched is the index of the newest entry known to match the log of the leader
 	// of the term, and leaderCommit the newest commit index heard from that leader.
 	// Messages that overtake each other may tell one long before the other.
--- a/replica/replication.go
+++ b/replica/replication.go
@@ -39,7 +39,7 @@
 	// round is the newest read round that the server has echoed.
 	round uint64
 	// lastContact is when the server last answered, or at first when the leader
-	// added it to its peers.
+	// added it to its peers; see also countFormerLeader.
 	lastContact time.Time
 	// snapshotDeadline is when a snapshot that was sent is given up, unless more of it
 	// reaches the server; zero or in the past while none is under way.
@@ -193,7 +193,7 @@
 	if n.role != Follower || n.leader == "" {
 		n.becomeFollower(m.GetTerm(), m.GetFrom())
 	}
-	n.lastContact = n.now
+	n.lastContact, n.lastLeader = n.now, m.GetFrom()
 	n.leaderCommit = max(n.leaderCommit, m.GetCommit())
 	n.resetElectionDeadline()
 	answer := &replicav1.Message{Kind: replicav1.Message_KIND_APPEND_ANSWER, To: m.GetFrom(), Round: m.GetRound(), Attempt: m.GetAttempt()}
