--- a/proof/control_large_documents_test.go
+++ b/proof/control_large_documents_test.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"os"
-	"strings"
 	"testing"
 	"time"
 )
@@ -85,17 +83,12 @@
 // checkPeak checks the most memory that a process has had.
 func checkPeak(t *testing.T, p *process) {
 	t.Helper()
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-	_, line, _ := strings.Cut(string(b), "VmHWM:")
-	var kilobytes int
-	if _, err := fmt.Sscan(line, &kilobytes); err != nil {
-		t.Fatal(err)
+	megabytes, ok := peakMegabytes(p)
+	if !ok {
+		t.Errorf("%s has exited", p.name)
 	}
-	t.Logf("%s: %d MiB at most", p.name, kilobytes>>10)
-	if limit := hostMegabytes * memoryTarget / 100; kilobytes>>10 > limit {
-		t.Errorf("%s used %d MiB of %d, more than %d", p.name, kilobytes>>10, hostMegabytes, limit)
+	t.Logf("%s: %d MiB at most", p.name, megabytes)
+	if limit := hostMegabytes * memoryTarget / 100; megabytes > limit {
+		t.Errorf("%s used %d MiB of %d, more than %d", p.name, megabytes, hostMegabytes, limit)
 	}
 }
--- a/proof/control_replaced_often_test.go
+++ b/proof/control_replaced_often_test.go
@@ -71,23 +71,38 @@
 	lost.kill()
 	h.processes[i] = r.start(t)
 	start := time.Now()
-	h.cluster.controls = nil
-	for _, p := range h.processes {
-		h.cluster.controls = append(h.cluster.controls, p.address)
-	}
-	changes.setTargets(h.addresses())
+	r.tellAddresses(changes)
 	learner := r.start(t)
 	time.Sleep(life)
 	learner.kill()
+	elapsed := r.awaitVoter(t, i, lost, start)
+	t.Logf("%s replaced %s in %s; another one was killed after %s; term %d", h.processes[i].name, lost.name, elapsed, life, h.status(h.leader()).Term)
+}
+
+// awaitVoter waits until a host that started at some time is a voter in place of a lost
+// one, checks that it was in time, and returns how long it took.
+func (r *replacements) awaitVoter(t *testing.T, i int, lost *process, start time.Time) time.Duration {
+	t.Helper()
+	h := r.hosts
 	eventually(t, 15*time.Second, "the replacement of "+lost.name+" is a voter", func() bool {
 		s := h.status(h.leader()).Servers
 		return len(s) == 3 && slices.Contains(s, h.processes[i].name) && !slices.Contains(s, lost.name)
 	})
 	elapsed := time.Since(start)
-	t.Logf("%s replaced %s in %s; another one was killed after %s; term %d", h.processes[i].name, lost.name, elapsed, life, h.status(h.leader()).Term)
 	if elapsed > replacementTarget {
 		t.Errorf("the replacement of %s was a voter after %s, expected at most %s", lost.name, elapsed, replacementTarget)
 	}
+	return elapsed
+}
+
+// tellAddresses makes changes go to the hosts as they are now.
+func (r *replacements) tellAddresses(changes *documentChanges) {
+	h := r.hosts
+	h.cluster.controls = nil
+	for _, p := range h.processes {
+		h.cluster.controls = append(h.cluster.controls, p.address)
+	}
+	changes.setTargets(h.addresses())
 }
 
 // start starts an empty host that knows the addresses of the others.
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -168,11 +168,17 @@
 }
 
 func startPlatformEntry(c *cluster, name string) *process {
+	c.t.Helper()
+	return startPlatformEntryWithin(c, name, 0)
+}
+
+// startPlatformEntryWithin starts an entry of some mebibytes of memory.
+func startPlatformEntryWithin(c *cluster, name string, megabytes int) *process {
 	c.t.Helper()
 	p := &process{name: name, program: "entry", address: ports.Free(), operators: ports.Free()}
 	return c.start(p, settings.Entry{
 		Name: name, Environment: c.environment, FailureDomain: "osu", Callers: p.address, Operators: p.operators, Controls: c.controls,
-		Peers: ports.Free(), Policy: "reserve", Protocol: settings.Platform, RetryBudget: settings.RetryBudget{Ratio: 0.2, Slack: 52, Window: document.Duration(10 * time.Second)},
+		Peers: ports.Free(), Policy: "reserve", Protocol: settings.Platform, MemoryMegabytes: megabytes, RetryBudget: settings.RetryBudget{Ratio: 0.2, Slack: 52, Window: document.Duration(10 * time.Second)},
 		QuotaTolerance: settings.QuotaTolerance{Excess: quotaExcess * quotaTokens, Window: document.Duration(quotaWindow)},
 	})
 }
