Bound the reasons that decision records keep and the errors in log lines

Cause: errors of net/http quote the value that is not valid ("bad Content-Length", "unsupported transfer encoding"), up to 64 KiB. The entry keeps 4,096 records in memory, each with a reason and the failures of its attempts, and up to 1,024 log lines that wait. Both were bounded in number only. Shortened IDs kept the memory of the whole text as well. Why it works: what a record or a line keeps is bounded in bytes where it is added, whoever made the error.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -24,8 +24,13 @@
 	Aborted = "broken_off"
 )
 
-// maxSteps bounds the number of choices in a record, and that of failures.
-const maxSteps = 32
+const (
+	// maxSteps bounds the number of choices in a record, and that of failures.
+	maxSteps = 32
+	// maxReasonBytes bounds a reason in a record, as a reason may quote input from
+	// outside.
+	maxReasonBytes = 256
+)
 
 // Record is the record of one request, written as one line of the log. It holds no
 // text of prompts or answers.
@@ -185,7 +190,7 @@
 	if r.ended || len(r.record.Failures) >= maxSteps {
 		return
 	}
-	r.record.Failures = append(r.record.Failures, Failure{Attempt: attempt, Reason: reason, AfterMilliseconds: time.Since(r.start).Milliseconds()})
+	r.record.Failures = append(r.record.Failures, Failure{Attempt: attempt, Reason: logs.TruncateText(reason, maxReasonBytes), AfterMilliseconds: time.Since(r.start).Milliseconds()})
 }
 
 // End completes the record and adds it to the log. Only the first call has an
@@ -197,7 +202,7 @@
 		return
 	}
 	r.ended = true
-	r.record.Outcome, r.record.Reason = outcome, reason
+	r.record.Outcome, r.record.Reason = outcome, logs.TruncateText(reason, maxReasonBytes)
 	r.record.ElapsedMilliseconds = time.Since(r.start).Milliseconds()
 	r.mu.Unlock()
 	r.log.add(r.record)
--- a/decision/logline.go
+++ b/decision/logline.go
@@ -13,9 +13,6 @@
 	// successes, which metrics count as well.
 	successesPerSecond = 10
 	successBurst       = 20
-	// maxReasonBytes bounds a reason in a log line, as a reason may quote input
-	// from outside.
-	maxReasonBytes = 256
 )
 
 // endedMessage is the message of the log line for a request. The fields of the
@@ -45,7 +42,7 @@
 		"Outcome": r.Outcome, "ElapsedMilliseconds": r.ElapsedMilliseconds, "Began": r.Time.Format(time.RFC3339Nano),
 	}
 	texts := map[string]string{
-		"Caller": r.Caller, "Route": r.Route, "Serves": r.Serves, "Reason": r.Reason[:min(len(r.Reason), maxReasonBytes)], "LastEvent": logs.Truncate(r.LastEvent),
+		"Caller": r.Caller, "Route": r.Route, "Serves": r.Serves, "Reason": r.Reason, "LastEvent": logs.Truncate(r.LastEvent),
 		"ResumedRequest": r.ResumedRequest, "ResumedAfter": r.ResumedAfter,
 	}
 	for name, v := range texts {
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -23,6 +23,9 @@
 	// maxNameBytes is the maximum length of an ID or a name of external origin
 	// in a line.
 	maxNameBytes = 64
+	// maxErrorBytes is the maximum length of an error in a line. Errors may quote what an
+	// endpoint or a caller has sent.
+	maxErrorBytes = 1 << 10
 	// maxListNames is the maximum length of a list of such names.
 	maxListNames = 8
 	// flushTimeout limits each wait of Flush: for room in the queue, and for the
@@ -35,6 +38,7 @@
 func New(program, name string) *logrus.Entry {
 	l := logrus.New()
 	l.SetOutput(newWriter(os.Stdout))
+	l.AddHook(errorHook{})
 	l.SetFormatter(&logrus.JSONFormatter{
 		TimestampFormat: time.RFC3339Nano,
 		FieldMap:        logrus.FieldMap{logrus.FieldKeyTime: "Time", logrus.FieldKeyLevel: "Level", logrus.FieldKeyMsg: "Message"},
@@ -45,9 +49,36 @@
 	return e
 }
 
+// errorHook truncates long errors.
+type errorHook struct{}
+
+// Levels returns all levels.
+func (errorHook) Levels() []logrus.Level {
+	return logrus.AllLevels
+}
+
+// Fire truncates the error of a line.
+func (errorHook) Fire(e *logrus.Entry) error {
+	if err, ok := e.Data[logrus.ErrorKey].(error); ok {
+		if text := err.Error(); len(text) > maxErrorBytes {
+			e.Data[logrus.ErrorKey] = TruncateText(text, maxErrorBytes)
+		}
+	}
+	return nil
+}
+
 // Truncate truncates an ID or a name of external origin for use in a log line.
 func Truncate(s string) string {
-	return s[:min(len(s), maxNameBytes)]
+	return TruncateText(s, maxNameBytes)
+}
+
+// TruncateText returns at most the first bytes of a text, without keeping the rest in
+// memory.
+func TruncateText(s string, bytes int) string {
+	if len(s) <= bytes {
+		return s
+	}
+	return strings.Clone(s[:bytes])
 }
 
 // TruncateList returns a list from outside for a log line: its first names, truncated.
