Bound what the answers of all endpoints take together, with their heads

What callers saw: an entry ended over its memory, with the calls of others, while endpoints answered 400 calls with heads of many short names, slowly or up to their end. Cause: each answer was bounded, and of their sum only what bodies took beyond 64 KiB. A head of 64 KiB takes about 1 MiB once it is parsed and is kept until its answer ends; nothing counted all heads, nor the first 64 KiB of each body or event. Where a sum was exceeded, the answer that came last was given up and not the one that took most, and bytes that had arrived and were not read were left to the system's buffers. Change: package answers has one budget of 8 MiB for each process that calls endpoints. Heads count from their first byte until the answer is closed, at what they take parsed; bodies, events and comments as they are read, for calls and for the calls that entries and control make for themselves. Beyond the budget the largest answer is given up and its connection closed. The receive buffer of a connection to an endpoint is fixed. A server error that is kept for the caller counts until its call ends.

Evidence: TestPlatformEndlessAnswers, a real entry with 112 MiB under a supervisor, 400 calls at a time to 8 faulty endpoints, and calls to a sound service beside them. TestBudget and TestHeads check the budget itself.

--- /dev/null
+++ b/answers/transport.go
@@ -0,0 +1,140 @@
+package answers
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+const (
+	// parsedByteCost and parsedLineCost estimate the memory that a byte and a line of a
+	// head take once it is parsed, in bytes: each is copied, and a header is an entry of
+	// a map.
+	parsedByteCost = 2
+	parsedLineCost = 64
+	// readBufferBytes is the size of the system's buffer for bytes of an answer that
+	// have arrived and were not read. The default grows to megabytes.
+	readBufferBytes = 32 << 10
+)
+
+// Transport is an http.RoundTripper for HTTP/1.1 that accounts for the heads of answers,
+// from their first byte until the body is closed, and bounds what arrives and is not read.
+type Transport struct {
+	base   *http.Transport
+	budget *Budget
+}
+
+// NewTransport returns a Transport that sends requests with base, whose DialContext must be
+// set. The base must not be used otherwise.
+func NewTransport(base *http.Transport, b *Budget) *Transport {
+	dial := base.DialContext
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if t, ok := c.(*net.TCPConn); ok {
+			if err = t.SetReadBuffer(readBufferBytes); err != nil {
+				_ = c.Close()
+				return nil, err
+			}
+		}
+		return &conn{Conn: c}, nil
+	}
+	return &Transport{base: base, budget: b}
+}
+
+// RoundTrip sends a request. The error wraps a *TooLongError where the head of the answer
+// was given up.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	// net/http may try a second connection where a kept one turns out to be closed.
+	var used *conn
+	var head *Answer
+	end := func() {
+		if head != nil {
+			used.endHead()
+			head.Close()
+		}
+	}
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		end()
+		if c, ok := i.Conn.(*conn); ok {
+			used, head = c, c.beginHead(t.budget)
+		}
+	}}
+	res, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil || head == nil {
+		end()
+		return res, err
+	}
+	used.endHead()
+	res.Body = &body{ReadCloser: res.Body, head: head}
+	return res, nil
+}
+
+// conn is a connection that accounts for what is read while it waits for a head.
+type conn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// head is the head that is being read, or nil.
+	head *Answer
+}
+
+func (c *conn) beginHead(b *Budget) *Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = b.Open(func() { _ = c.Close() })
+	return c.head
+}
+
+func (c *conn) endHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = nil
+}
+
+// Read reads from the connection. What comes with the end of a head counts with it.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	head := c.head
+	c.mu.Unlock()
+	if head == nil {
+		return n, err
+	}
+	if err != nil {
+		return n, head.cause(err)
+	}
+	lines := bytes.Count(b[:n], []byte{'\n'})
+	if err := head.Grow(int64(n*parsedByteCost + lines*parsedLineCost)); err != nil {
+		return 0, err
+	}
+	return n, nil
+}
+
+// body is the body of an answer. Closing it ends the accounting for the head.
+type body struct {
+	io.ReadCloser
+	head *Answer
+}
+
+// Read reads from the body. The error is a *TooLongError where the head was given up.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = b.head.cause(err)
+	}
+	return n, err
+}
+
+// Close closes the body.
+func (b *body) Close() error {
+	defer b.head.Close()
+	return b.ReadCloser.Close()
+}
--- a/cmd/control/command.go
+++ b/cmd/control/command.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"ebonyreel/answers"
 	"ebonyreel/control"
 	"ebonyreel/logs"
 	"ebonyreel/platform"
@@ -64,15 +66,7 @@
 	}
 	routes := peerRoutes(store, security)
 	if s.Protocol == settings.Platform {
-		g := control.NewGateway(store, security.Client, connect.WithInterceptors(security.AddKey))
-		platform.NewAnnouncementHandler(g, s.Environment, log).Add(routes)
-		platform.NewConfigHandler(g, s.Environment, log).Add(routes)
-		allocator := control.NewAllocator(store, s.Environment, s.LearnPaces, log)
-		routes.Handle(controlv1connect.NewAllocationServiceHandler(allocator, connect.WithInterceptors(security.CheckKey)))
-		routes.Handle(controlv1connect.NewStreamServiceHandler(streams.NewRegister(maxStreams), connect.WithInterceptors(security.CheckKey)))
-		go allocator.Run(ctx)
-		process.PublishMetric("Quotas", allocator.QuotaMetrics())
-		go control.NewBalancer(store, platform.NewEndpointClient(), allocator, s.Environment, time.Duration(s.OrderPause), log).Run(ctx)
+		servePlatform(ctx, s, store, security, routes, log)
 	}
 	peers := transport.NewServer(routes)
 	operators := transport.NewServer(operatorRoutes(store, security))
@@ -103,6 +97,22 @@
 	return nil
 }
 
+// servePlatform adds the routes for endpoints and operators on the users' platform, and
+// starts what gives orders to endpoints.
+func servePlatform(ctx context.Context, s settings.Control, store *control.Store, security *process.Security, routes *http.ServeMux, log *logrus.Entry) {
+	g := control.NewGateway(store, security.Client, connect.WithInterceptors(security.AddKey))
+	platform.NewAnnouncementHandler(g, s.Environment, log).Add(routes)
+	platform.NewConfigHandler(g, s.Environment, log).Add(routes)
+	allocator := control.NewAllocator(store, s.Environment, s.LearnPaces, log)
+	routes.Handle(controlv1connect.NewAllocationServiceHandler(allocator, connect.WithInterceptors(security.CheckKey)))
+	routes.Handle(controlv1connect.NewStreamServiceHandler(streams.NewRegister(maxStreams), connect.WithInterceptors(security.CheckKey)))
+	go allocator.Run(ctx)
+	process.PublishMetric("Quotas", allocator.QuotaMetrics())
+	answerBudget := &answers.Budget{}
+	process.PublishMetric("Answers", answerBudget.Metrics())
+	go control.NewBalancer(store, platform.NewEndpointClient(answerBudget), allocator, s.Environment, time.Duration(s.OrderPause), log).Run(ctx)
+}
+
 func peerRoutes(store *control.Store, s *process.Security) *http.ServeMux {
 	m := http.NewServeMux()
 	check := connect.WithInterceptors(s.CheckKey)
--- a/cmd/entry/platform.go
+++ b/cmd/entry/platform.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"ebonyreel/answers"
 	"ebonyreel/controls"
 	"ebonyreel/entry"
 	"ebonyreel/platform"
@@ -23,8 +24,11 @@
 	budget := relay.RetryBudget{
 		Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack, Window: time.Duration(s.RetryBudget.Window), Since: time.Now(),
 	}
-	client := platform.NewEndpointClient()
+	answerBudget := &answers.Budget{}
+	process.PublishMetric("Answers", answerBudget.Metrics())
+	client := platform.NewEndpointClient(answerBudget)
 	r := relay.New(p.view, client, client, controls.NewStrikes(p.client, p.view), s.FailureDomain, budget, p.resources.decisions, p.log)
+	r.SetAnswers(answerBudget)
 	client.SetObserver(r)
 	go r.RunStrikes(ctx)
 	allocations := controls.NewAllocations(p.client, member(s), p.log)
--- a/relay/call_state.go
+++ b/relay/call_state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ebonyreel/answers"
 	"ebonyreel/decision"
 	"ebonyreel/document"
 	controlv1 "ebonyreel/proto/control/v1"
@@ -71,11 +72,10 @@
 	firstSent  time.Time
 	lastSent   time.Time
 	longestGap time.Duration
-	// failedReply and failedBody are a server error from an endpoint, which the
-	// caller gets where no other endpoint does better.
-	failedReply *Reply
-	failedBody  []byte
-	record      *decision.Request
+	// failed is a server error from an endpoint, which the caller gets where no other
+	// endpoint does better; nil for none.
+	failed *failedAnswer
+	record *decision.Request
 }
 
 // timeLeft returns how long the caller still waits, also for a call that it sends
@@ -86,3 +86,34 @@
 	}
 	return time.Until(cs.deadline)
 }
+
+// failedAnswer is a server error from an endpoint.
+type failedAnswer struct {
+	// reply is still open, as that accounts for the memory of its head.
+	reply *Reply
+	body  []byte
+	// memory is that of the body.
+	memory *answers.Answer
+}
+
+// keepFailed keeps a server error from an endpoint unless it is long.
+func (cs *callState) keepFailed(f *failedAnswer) {
+	if len(f.body) <= maxKeptBytes {
+		cs.dropFailed()
+		cs.failed = f
+	}
+}
+
+// keeps reports whether an answer is the server error that is kept.
+func (cs *callState) keeps(reply *Reply) bool {
+	return cs.failed != nil && cs.failed.reply == reply
+}
+
+// dropFailed drops the server error that is kept, if there is one.
+func (cs *callState) dropFailed() {
+	if cs.failed != nil {
+		_ = cs.failed.reply.Body.Close()
+		cs.failed.memory.Close()
+		cs.failed = nil
+	}
+}
--- a/relay/event_reader.go
+++ b/relay/event_reader.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"ebonyreel/answers"
 )
 
 // maxEventBytes bounds the size of one event.
@@ -38,48 +40,44 @@
 	// hasFields is true where it has a field, and not only comments.
 	event     []byte
 	hasFields bool
-	// answers accounts for taken, the bytes of long events.
-	answers *answerReader
-	taken   int64
+	// memory accounts for the capacity of event.
+	memory *answers.Answer
 	// id is the ID of the last whole event that had one, or the one given to
 	// newEventReader.
 	id string
 }
 
-func newEventReader(r io.Reader, lastEvent string, answers *answerReader) *eventReader {
-	return &eventReader{source: bufio.NewReader(r), id: lastEvent, answers: answers}
-}
-
-// release gives back what the reader took of the memory for answers.
-func (e *eventReader) release() {
-	e.answers.shared.Add(-e.taken)
-	e.taken = 0
+func newEventReader(r io.Reader, lastEvent string, memory *answers.Answer) *eventReader {
+	return &eventReader{source: bufio.NewReader(r), id: lastEvent, memory: memory}
 }
 
-// account counts the bytes of a long event, and reports whether there is memory for
-// it.
-func (e *eventReader) account() bool {
-	more := int64(len(e.event)) - freeAnswerBytes - e.taken
-	if more <= 0 {
-		return true
+// add adds bytes to the current event. The error is an *EventTooLongError or an
+// *answers.TooLongError.
+func (e *eventReader) add(b []byte) error {
+	if len(e.event)+len(b) > maxEventBytes {
+		return &EventTooLongError{}
 	}
-	e.taken += more
-	return e.answers.shared.Add(more) <= maxSharedBytes
+	before := cap(e.event)
+	e.event = append(e.event, b...)
+	if cap(e.event) == before {
+		return nil
+	}
+	return e.memory.Grow(int64(cap(e.event) - before))
 }
 
 // next returns the next whole event. The error is io.EOF after the last one,
-// a *PartialEventError where the stream ended within an event, and a
-// *EventTooLongError for one above the limit, or that does not fit the memory left.
+// a *PartialEventError where the stream ended within an event, an *EventTooLongError for
+// one above the limit, and an *answers.TooLongError where no memory is left for it.
 // The bytes are valid until the next call.
 func (e *eventReader) next() ([]byte, error) {
 	e.event, e.hasFields = e.event[:0], false
 	id := e.id
 	for {
 		line, err := e.source.ReadSlice('\n')
-		e.event = append(e.event, line...)
+		if err := e.add(line); err != nil {
+			return nil, err
+		}
 		switch {
-		case len(e.event) > maxEventBytes, !e.account():
-			return nil, &EventTooLongError{}
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(e.event) > 0:
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -3,16 +3,28 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"time"
+
+	"ebonyreel/answers"
 )
 
+// maxKeptBytes bounds the comments that are kept until the first event, and an answer
+// that is kept in case no other endpoint does better.
+const maxKeptBytes = 64 << 10
+
 // forwardAnswer sends an answer that is not a stream to the caller and returns
 // the time that it took to arrive. Two answers are errors instead: one in place of a
 // started stream, which can't continue with it, and a server error on a repeatable
 // route. The latter is kept for the caller in case no other endpoint does better.
 func (r *Relay) forwardAnswer(cs *callState, reply *Reply, start time.Time) (time.Duration, error) {
-	body, release, err := r.answers.read(reply.Body)
-	defer release()
+	memory := r.answers.Open(func() { _ = reply.Body.Close() })
+	defer func() {
+		if !cs.keeps(reply) {
+			memory.Close()
+		}
+	}()
+	body, err := memory.Read(reply.Body, math.MaxInt)
 	if err != nil {
 		return 0, err
 	}
@@ -20,9 +32,7 @@
 		return 0, &StatusError{Status: reply.Status}
 	}
 	if reply.Status >= 500 && cs.route.Repeatable() {
-		if len(body) <= freeAnswerBytes {
-			cs.failedReply, cs.failedBody = reply, body
-		}
+		cs.keepFailed(&failedAnswer{reply: reply, body: body, memory: memory})
 		return 0, &StatusError{Status: reply.Status}
 	}
 	latency := time.Since(start)
@@ -41,8 +51,9 @@
 	var previous, began time.Time
 	// comments are those that came before the first event.
 	var comments []byte
-	reader := newEventReader(reply.Body, cs.lastEvent, &r.answers)
-	defer reader.release()
+	memory := r.answers.Open(func() { _ = reply.Body.Close() })
+	defer memory.Close()
+	reader := newEventReader(reply.Body, cs.lastEvent, memory)
 	for {
 		event, err := reader.next()
 		if errors.Is(err, io.EOF) {
@@ -60,7 +71,7 @@
 		}
 		if !reader.hasFields {
 			// Comments are no progress, so that the monitor is not reset.
-			if comments, err = forwardComments(cs, comments, event); err != nil {
+			if comments, err = forwardComments(cs, memory, comments, event); err != nil {
 				return latency, err
 			}
 			continue
@@ -122,16 +133,19 @@
 
 // forwardComments sends comments to the caller of a started stream, and otherwise
 // returns them with those before, to be sent with the first event.
-func forwardComments(cs *callState, before, comments []byte) ([]byte, error) {
+func forwardComments(cs *callState, memory *answers.Answer, before, comments []byte) ([]byte, error) {
 	if cs.started {
 		if err := cs.answer.WriteEvent(comments); err != nil {
 			return nil, &CallerGoneError{Cause: err}
 		}
 		return nil, nil
 	}
-	if len(before)+len(comments) > freeAnswerBytes {
+	if len(before)+len(comments) > maxKeptBytes {
 		return nil, &EventTooLongError{}
 	}
+	if err := memory.Grow(int64(len(comments))); err != nil {
+		return nil, err
+	}
 	return append(before, comments...), nil
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"ebonyreel/answers"
 	"ebonyreel/decision"
 	"ebonyreel/document"
 	"ebonyreel/logs"
@@ -95,8 +96,8 @@
 	// queues maps the name of a pool to its *queue.
 	queues        sync.Map
 	retryDetector retryDetector
-	// answers reads the answers that are not streams.
-	answers answerReader
+	// answers bounds the memory for answers.
+	answers *answers.Budget
 	// workload measures the work and the speed of the pools, and runs are the runs
 	// with reserved memory that are reported with it.
 	workload *workload.Recorder
@@ -121,7 +122,7 @@
 func New(fleet Fleet, sender Sender, engines Engines, strikes Strikes, domain string, budget RetryBudget, decisions *decision.Log, log *logrus.Entry) *Relay {
 	return &Relay{
 		fleet: newSteadyFleet(fleet, budget.Window), sender: sender, engines: engines, strikes: strikes, domain: domain, budget: budget, decisions: decisions, log: log, metrics: newMetrics(),
-		workload: &workload.Recorder{}, crashReports: make(chan crashReport, crashReportBuffer), random: rand.Float64, streams: noStreams{},
+		answers: &answers.Budget{}, workload: &workload.Recorder{}, crashReports: make(chan crashReport, crashReportBuffer), random: rand.Float64, streams: noStreams{},
 	}
 }
 
@@ -177,6 +178,7 @@
 		r.endFailed(ctx, cs, originErr)
 		return
 	}
+	defer cs.dropFailed()
 	if r.takeQuota(ctx, cs) {
 		r.run(ctx, cs)
 		r.returnQuota(cs)
@@ -278,9 +280,9 @@
 	case cs.started:
 		r.recordEnd(cs, decision.Aborted, err)
 		cs.answer.Abort()
-	case cs.failedReply != nil:
+	case cs.failed != nil:
 		r.recordEnd(cs, decision.Failed, err)
-		r.logUnwritten(cs, cs.answer.WriteAnswer(cs.failedReply, cs.failedBody))
+		r.logUnwritten(cs, cs.answer.WriteAnswer(cs.failed.reply, cs.failed.body))
 	case cs.mayHaveRun && ctx.Err() != nil:
 		r.refuse(cs, Refusal{Reason: TimedOut}, err)
 	case cs.mayHaveRun:
@@ -429,7 +431,11 @@
 	if err != nil {
 		return 0, err
 	}
-	defer func() { _ = reply.Body.Close() }()
+	defer func() {
+		if !cs.keeps(reply) {
+			_ = reply.Body.Close()
+		}
+	}()
 	cs.mayHaveRun = true
 	if reply.Events {
 		return r.forwardStream(cs, reply, monitor, start)
@@ -481,6 +487,12 @@
 	return max(stallTargets*time.Duration(cs.route.Target), time.Until(cs.deadline)/3)
 }
 
+// SetAnswers makes the relay account for answers in a budget that others use too. It must
+// be called before the first call is served.
+func (r *Relay) SetAnswers(b *answers.Budget) {
+	r.answers = b
+}
+
 // SetAllocator makes requests ask an allocator for engine memory. It must be called
 // before the first call is served.
 func (r *Relay) SetAllocator(a Allocator) {
--- a/standin/faulty/faulty.go
+++ b/standin/faulty/faulty.go
@@ -2,7 +2,6 @@
 package faulty
 
 import (
-	"bufio"
 	"net"
 	"net/http"
 	"net/netip"
@@ -58,24 +57,5 @@
 // head of its request was read, and closed after that.
 func Listen(t testing.TB, answer func(c net.Conn)) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					answer(c)
-				}
-			}()
-		}
-	}()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	return ListenRequests(t, func(c net.Conn, _ *http.Request) { answer(c) })
 }
