Bound what an agent keeps of the answers of its endpoint, and read long answers without garbage

What callers saw: an agent of 216 MiB ended over its memory while its service answered 48 calls at a time with bytes without end, and 77 of 145 calls to the same service that it answered well were not served. Cause: each body was bounded at 4 MiB, their sum was not, and io.ReadAll copies a body again and again as it grows. Agents had no memory limit of the runtime. Change: agents account for answers in a budget (package answers), until the answer has been sent to the entry; MemoryMegabytes in their settings sets it and the limit of the runtime. Bodies are read into buffers that are used again, and are copied once, when they are whole. A type of more than 1 KiB, which the log of operations keeps beside the body, is left out. Clients of engines use the same.

Evidence: TestAgentEndlessAnswers, a real agent of 216 MiB under a supervisor, 48 calls at a time, 13 answers for 3 s each. TestRead: no answer that breaks off looks whole. Why it works: the memory of all answers is one sum, and what is given up leaves buffers, not garbage. The expected list of an agent's settings has the new one.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"ebonyreel/answers"
 	"ebonyreel/controls"
 	"ebonyreel/endpoints"
 	"ebonyreel/engines"
@@ -32,6 +33,8 @@
 	view      *controls.View
 	log       *logrus.Entry
 	tracer    *traces.Tracer
+	// answers bounds the memory for answers of the endpoint.
+	answers *answers.Budget
 
 	mu sync.Mutex
 	// endpoint is nil until an endpoint has announced itself.
@@ -77,14 +80,16 @@
 	stop context.CancelFunc
 }
 
-// New returns an agent without an endpoint. ctx ends with the process.
-func New(ctx context.Context, c *controls.Client, a *controls.Announcer, v *controls.View, t *traces.Tracer, log *logrus.Entry) *Agent {
+// New returns an agent without an endpoint, which accounts for the answers of endpoints in
+// a budget. ctx ends with the process.
+func New(ctx context.Context, c *controls.Client, a *controls.Announcer, v *controls.View, b *answers.Budget, t *traces.Tracer, log *logrus.Entry) *Agent {
 	return &Agent{
 		client:        c,
 		announcer:     a,
 		view:          v,
 		log:           log,
 		tracer:        t,
+		answers:       b,
 		endpointReady: make(chan struct{}),
 		processCtx:    ctx,
 	}
@@ -121,11 +126,11 @@
 	ctx, cancel := context.WithCancel(a.processCtx)
 	e := &endpoint{announcement: announced, stop: cancel}
 	if announced.Role == endpoints.RoleService {
-		e.service = services.NewClient(announced.Address)
+		e.service = services.NewClient(announced.Address, a.answers)
 		a.markReady(e)
 		return e
 	}
-	e.engine = engines.NewClient(announced.Address)
+	e.engine = engines.NewClient(announced.Address, a.answers)
 	e.canceller = newCanceller(e.engine, a.log)
 	onExpired := func(t reservation.Attempt) {
 		e.canceller.cancel(engineRequestID(t), nil)
--- a/agent/cancel_test.go
+++ b/agent/cancel_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"ebonyreel/answers"
 	"ebonyreel/engines"
 )
 
@@ -33,7 +34,7 @@
 		}
 	}))
 	defer s.Close()
-	c := newCanceller(engines.NewClient(netip.MustParseAddrPort(s.Listener.Addr().String())), logrus.NewEntry(logrus.New()))
+	c := newCanceller(engines.NewClient(netip.MustParseAddrPort(s.Listener.Addr().String()), &answers.Budget{}), logrus.NewEntry(logrus.New()))
 	go c.run(t.Context())
 	confirmed := make(chan string, 3)
 	for _, r := range []string{"stuck", "repeated", "other"} {
--- a/agent/operations.go
+++ b/agent/operations.go
@@ -46,7 +46,7 @@
 	defer a.callsInFlight.Add(-1)
 	m := r.Msg
 	if m.GetOperation() == 0 {
-		return a.forward(ctx, m)
+		return a.forward(ctx, ctx, m)
 	}
 	if m.GetAgentIncarnation() != a.announcer.Incarnation() {
 		return nil, newRefusal(agentv1.Refusal_CODE_NOT_RUN, &IncarnationError{Asked: m.GetAgentIncarnation()})
@@ -59,7 +59,7 @@
 		return nil, newRefusal(agentv1.Refusal_CODE_OUTCOME_UNKNOWN, &NotStartableError{Outcome: outcome})
 	}
 	// The call continues when its entry is gone; Settle returns its outcome later.
-	res, err := a.forward(context.WithoutCancel(ctx), m)
+	res, err := a.forward(context.WithoutCancel(ctx), ctx, m)
 	a.recordOutcome(m.GetOperation(), res, err)
 	return res, err
 }
@@ -91,8 +91,9 @@
 }
 
 // forward sends a call to the service if new work may start now. Only a call
-// that never reached the service is refused as not run.
-func (a *Agent) forward(ctx context.Context, m *agentv1.CallRequest) (*connect.Response[agentv1.CallResponse], error) {
+// that never reached the service is refused as not run. inbound is the context of the
+// entry's request, which ends once the answer was sent.
+func (a *Agent) forward(ctx, inbound context.Context, m *agentv1.CallRequest) (*connect.Response[agentv1.CallResponse], error) {
 	e, err := a.acceptingEndpointOf(endpoints.RoleService)
 	if err != nil {
 		return nil, notRunRefusal(err)
@@ -121,6 +122,7 @@
 	if err != nil {
 		return nil, newRefusal(agentv1.Refusal_CODE_OUTCOME_UNKNOWN, err)
 	}
+	context.AfterFunc(inbound, res.Memory.Close)
 	return connect.NewResponse(&agentv1.CallResponse{
 		Status: uint32(res.Status), ContentType: res.ContentType, Body: res.Body, Load: a.loadReport(),
 	}), nil
--- a/answers/budget.go
+++ b/answers/budget.go
@@ -3,20 +3,13 @@
 package answers
 
 import (
-	"errors"
 	"expvar"
 	"fmt"
-	"io"
-	"slices"
 	"sync"
 )
 
-const (
-	// defaultLimit bounds what all answers take together, in bytes.
-	defaultLimit = 8 << 20
-	// chunkBytes is the size of one read.
-	chunkBytes = 4 << 10
-)
+// defaultLimit bounds what all answers take together, in bytes.
+const defaultLimit = 8 << 20
 
 // TooLongError reports an answer that was given up, as no memory was left for it or it is
 // longer than any answer may be.
@@ -98,6 +91,17 @@
 	return nil
 }
 
+// release accounts for bytes that the answer does not take any more.
+func (a *Answer) release(bytes int64) {
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !a.givenUp {
+		a.size -= bytes
+		b.used -= bytes
+	}
+}
+
 // shrink gives up the largest answers until the rest keeps to the limit. The reader of the
 // growing one learns it from Grow. b.mu must be held.
 func (b *Budget) shrink(growing *Answer) {
@@ -140,31 +144,6 @@
 	a.budget.remove(a)
 }
 
-// Read reads r to its end. The error is a *TooLongError where that takes more than limit
-// bytes, or the answer was given up.
-func (a *Answer) Read(r io.Reader, limit int) ([]byte, error) {
-	var out []byte
-	for {
-		if len(out) == cap(out) {
-			before := cap(out)
-			out = slices.Grow(out, chunkBytes)
-			if err := a.Grow(int64(cap(out) - before)); err != nil {
-				return nil, err
-			}
-		}
-		n, err := r.Read(out[len(out):cap(out)])
-		out = out[:len(out)+n]
-		switch {
-		case len(out) > limit:
-			return nil, &TooLongError{Size: int64(len(out))}
-		case errors.Is(err, io.EOF):
-			return out, nil
-		case err != nil:
-			return nil, a.cause(err)
-		}
-	}
-}
-
 // cause returns why a read failed: a *TooLongError where the answer was given up.
 func (a *Answer) cause(err error) error {
 	a.budget.mu.Lock()
--- a/engines/client.go
+++ b/engines/client.go
@@ -15,6 +15,7 @@
 	"github.com/dghubble/sling"
 	"github.com/joomcode/errorx"
 
+	"ebonyreel/answers"
 	"ebonyreel/traces"
 )
 
@@ -42,19 +43,21 @@
 // Client calls one engine. It dials for each call, as an idle connection may be
 // dead. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
-	base *sling.Sling
+	http   *http.Client
+	base   *sling.Sling
+	budget *answers.Budget
 }
 
-// NewClient returns a client for an engine's address.
-func NewClient(a netip.AddrPort) *Client {
+// NewClient returns a client for an engine's address, which accounts for answers in a
+// budget.
+func NewClient(a netip.AddrPort, b *answers.Budget) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
-	h := &http.Client{Transport: &http.Transport{
+	h := &http.Client{Transport: answers.NewTransport(&http.Transport{
 		DialContext:            d.DialContext,
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
-	return &Client{http: h, base: sling.New().Base("http://" + a.String())}
+	}, b)}
+	return &Client{http: h, base: sling.New().Base("http://" + a.String()), budget: b}
 }
 
 // Prefill computes the KV cache of a prompt and exports it. The error is a
@@ -190,10 +193,9 @@
 		return err
 	}
 	// The whole body is read, as an answer may break off after its last object.
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
-	if err == nil && len(b) > maxAnswerBytes {
-		err = &AnswerTooLongError{}
-	}
+	memory := c.budget.Open(func() { _ = res.Body.Close() })
+	defer memory.Close()
+	b, err := memory.Read(res.Body, maxAnswerBytes)
 	if err == nil {
 		err = json.Unmarshal(b, out)
 	}
--- a/engines/messages.go
+++ b/engines/messages.go
@@ -115,14 +115,6 @@
 	return fmt.Sprintf("engine answered %s with %d", e.Path, e.Status)
 }
 
-// AnswerTooLongError reports an answer whose body is longer than the limit.
-type AnswerTooLongError struct{}
-
-// Error returns a message with the limit.
-func (*AnswerTooLongError) Error() string {
-	return fmt.Sprintf("answer is longer than %d bytes", maxAnswerBytes)
-}
-
 // StallError reports a call that the engine no longer makes progress on.
 type StallError struct {
 	Request string
--- a/engines/misbehaviour_test.go
+++ b/engines/misbehaviour_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"ebonyreel/answers"
 	"ebonyreel/standin/faulty"
 )
 
@@ -27,7 +28,7 @@
 		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"Handle\":\"a"))
 	}}) {
 		t.Run(k.Name, func(t *testing.T) {
-			client := NewClient(faulty.Listen(t, k.Write))
+			client := NewClient(faulty.Listen(t, k.Write), &answers.Budget{})
 			ctx, cancel := context.WithTimeout(t.Context(), 2*answerLimit)
 			defer cancel()
 			var before, after runtime.MemStats
@@ -56,7 +57,7 @@
 		one := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 		_, _ = c.Write([]byte(one + one))
 		time.Sleep(10 * time.Millisecond)
-	}))
+	}), &answers.Budget{})
 	for i := 1; i <= 3; i++ {
 		res, err := client.Prefill(t.Context(), PrefillCall{Request: "r/1", Prompt: "deed"})
 		if err != nil || len(res.Handle) != i {
--- a/proof/checkers_test.go
+++ b/proof/checkers_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ebonyreel/answers"
 	"ebonyreel/engines"
 	"ebonyreel/standin/tokens"
 )
@@ -126,7 +127,7 @@
 func isResponsive(e *process) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
-	_, err := engines.NewClient(e.address).Running(ctx)
+	_, err := engines.NewClient(e.address, &answers.Budget{}).Running(ctx)
 	return err == nil
 }
 
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -277,14 +277,22 @@
 	Endpoint      netip.AddrPort
 	Operators     netip.AddrPort
 	Controls      []netip.AddrPort
+	// MemoryMegabytes is the agent's memory; zero for no limit.
+	MemoryMegabytes int `json:",omitempty"`
 }
 
 func (c *cluster) startAgent(name string) *process {
+	c.t.Helper()
+	return c.startAgentWithin(name, 0)
+}
+
+// startAgentWithin starts an agent of some mebibytes of memory.
+func (c *cluster) startAgentWithin(name string, megabytes int) *process {
 	c.t.Helper()
 	p := &process{name: name, program: "agent", address: ports.Free(), operators: ports.Free(), endpoint: ports.Free()}
 	return c.start(p, agentSettings{
 		Name: name, Environment: c.environment, FailureDomain: "osu", Peers: p.address, Announced: c.dialAddress(name, p.address), Endpoint: p.endpoint,
-		Operators: p.operators, Controls: c.controls,
+		Operators: p.operators, Controls: c.controls, MemoryMegabytes: megabytes,
 	})
 }
 
--- a/proof/memory_test.go
+++ b/proof/memory_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"ebonyreel/answers"
 	"ebonyreel/engines"
 )
 
@@ -132,7 +133,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	r, err := engines.NewClient(engine.address).Running(ctx)
+	r, err := engines.NewClient(engine.address, &answers.Budget{}).Running(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/proof/platform_endless_test.go
+++ b/proof/platform_endless_test.go
@@ -58,6 +58,7 @@
 				t.Logf("%d MiB at most", peak)
 			}
 			unwatch()
+			eventually(t, 5*time.Second, "no answer counts any more", func() bool { return answerBytes(entry) == 0 })
 			entry.kill()
 		})
 	}
--- a/proof/sound_calls_test.go
+++ b/proof/sound_calls_test.go
@@ -44,13 +44,11 @@
 	failed []string
 }
 
-// startSoundCalls makes calls to a path of an entry, one each soundCallInterval, until
-// they are checked.
+// startSoundCalls makes calls to a path of an entry on the users' platform, one each
+// soundCallInterval, until they are checked.
 func startSoundCalls(t *testing.T, entry *process, path string) *soundCalls {
 	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
-	s := &soundCalls{cancel: cancel}
-	call := func(n int) error {
+	return startCalls(t, func(n int) error {
 		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+entry.address.String()+path, nil)
 		if err != nil {
 			return err
@@ -59,7 +57,15 @@
 		r.Header.Set("X-Attempt-Id", fmt.Sprint("sound-", n))
 		r.Header.Set("X-Deadline-Ms", "2500")
 		return deskAnswer(r)
-	}
+	})
+}
+
+// startCalls makes a call each soundCallInterval. The error of call tells why it was not
+// served.
+func startCalls(t *testing.T, call func(n int) error) *soundCalls {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &soundCalls{cancel: cancel}
 	eventually(t, soundFirst, "a sound call is served", func() bool { return call(0) == nil })
 	s.done.Go(func() {
 		for n := 1; clock.Sleep(ctx, soundCallInterval); n++ {
--- a/proof/standin_test.go
+++ b/proof/standin_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"ebonyreel/answers"
 	"ebonyreel/engines"
 	"ebonyreel/standin/ports"
 )
@@ -27,7 +28,7 @@
 		// send.
 		p := &process{name: name, program: "engine", address: ports.Free()}
 		c.start(p, engineSettings{Address: p.address, Agent: ports.Free(), Role: prefillRole, Model: "summariser", ChecksFencing: checks})
-		e := engines.NewClient(p.address)
+		e := engines.NewClient(p.address, &answers.Budget{})
 		eventually(t, 10*time.Second, name+" runs", func() bool { _, err := e.Running(ctx); return err == nil })
 		if err := e.Order(ctx, engines.Order{FencingNumber: 7, Version: "2"}); err != nil {
 			t.Fatal(err)
--- a/services/client.go
+++ b/services/client.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -14,6 +13,7 @@
 
 	"github.com/dghubble/sling"
 
+	"ebonyreel/answers"
 	"ebonyreel/traces"
 )
 
@@ -22,6 +22,9 @@
 	dialTimeout = time.Second
 	// maxHeaderBytes bounds the head of an answer.
 	maxHeaderBytes = 64 << 10
+	// maxContentTypeBytes bounds the type of an answer, which is kept with its body. A
+	// longer one is left out.
+	maxContentTypeBytes = 1 << 10
 	// MaxBodyBytes bounds the body of a call and of its answer.
 	MaxBodyBytes = 4 << 20
 )
@@ -43,6 +46,8 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// Memory is that of the body.
+	Memory *answers.Answer
 }
 
 // NotSentError reports a call that was not sent to the service.
@@ -60,25 +65,19 @@
 	return e.Cause
 }
 
-// AnswerTooLongError reports an answer whose body is longer than MaxBodyBytes.
-type AnswerTooLongError struct{}
-
-// Error returns a message with the limit.
-func (*AnswerTooLongError) Error() string {
-	return fmt.Sprintf("answer is longer than %d bytes", MaxBodyBytes)
-}
-
 // Client calls one plain service. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
-	base *sling.Sling
+	http   *http.Client
+	base   *sling.Sling
+	budget *answers.Budget
 }
 
-// NewClient returns a client for the service at an address. Each call has a
+// NewClient returns a client for the service at an address, which accounts for answers in
+// a budget. Each call has a
 // connection of its own: the standard transport sends a call again by itself when a
 // kept connection turns out to be closed and the call has an Idempotency-Key, but a
 // non-idempotent call must never be sent twice. Redirects are not followed.
-func NewClient(a netip.AddrPort) *Client {
+func NewClient(a netip.AddrPort, b *answers.Budget) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := d.DialContext(ctx, network, address)
@@ -88,17 +87,17 @@
 		return c, nil
 	}
 	h := &http.Client{
-		Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes},
+		Transport: answers.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}, b),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
 	}
-	return &Client{http: h, base: sling.New().Base("http://" + a.String())}
+	return &Client{http: h, base: sling.New().Base("http://" + a.String()), budget: b}
 }
 
-// Call makes one call. The error is a *NotSentError where it is certain that the
-// service has not received the call, and an *AnswerTooLongError for too long an
-// answer.
+// Call makes one call. The memory of the answer must be closed once it is not used any
+// more. The error is a *NotSentError where it is certain that the service has not received
+// the call, and an *answers.TooLongError for too long an answer.
 func (c *Client) Call(ctx context.Context, r Call) (Answer, error) {
 	req, err := c.request(ctx, r)
 	if err != nil {
@@ -109,14 +108,17 @@
 		return Answer{}, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, MaxBodyBytes+1))
+	memory := c.budget.Open(func() { _ = res.Body.Close() })
+	body, err := memory.Read(res.Body, MaxBodyBytes)
 	if err != nil {
+		memory.Close()
 		return Answer{}, err
 	}
-	if len(body) > MaxBodyBytes {
-		return Answer{}, &AnswerTooLongError{}
+	contentType := res.Header.Get("Content-Type")
+	if len(contentType) > maxContentTypeBytes {
+		contentType = ""
 	}
-	return Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, nil
+	return Answer{Status: res.StatusCode, ContentType: contentType, Body: body, Memory: memory}, nil
 }
 
 func (c *Client) request(ctx context.Context, r Call) (*http.Request, error) {
--- a/services/client_test.go
+++ b/services/client_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"ebonyreel/answers"
 	"ebonyreel/standin/faulty"
 )
 
@@ -15,7 +16,7 @@
 	const answerLimit = 3 * time.Second
 	for _, k := range faulty.Answers() {
 		t.Run(k.Name, func(t *testing.T) {
-			client := NewClient(faulty.Listen(t, k.Write))
+			client := NewClient(faulty.Listen(t, k.Write), &answers.Budget{})
 			ctx, cancel := context.WithTimeout(t.Context(), 2*answerLimit)
 			defer cancel()
 			start := time.Now()
--- a/settings/check.go
+++ b/settings/check.go
@@ -232,6 +232,7 @@
 		c.metricsAddress(s.Metrics)
 		c.controlAddresses(s.Controls)
 		c.security(s.Security)
+		c.memory(s.MemoryMegabytes)
 		if !s.Announced.IsValid() {
 			s.Announced = s.Peers
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -98,6 +98,9 @@
 	// TraceFile is the file to which spans are written as JSON lines. If it is
 	// empty, no spans are written.
 	TraceFile string
+	// MemoryMegabytes is the memory of the host that the agent may use, in
+	// mebibytes. Zero means no limit.
+	MemoryMegabytes int `json:",omitempty"`
 	// Security applies to calls between processes and from operators.
 	Security Security `json:",omitzero"`
 }
--- a/standin/load/capacity.go
+++ b/standin/load/capacity.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"ebonyreel/answers"
 	"ebonyreel/engines"
 	"ebonyreel/standin/tokens"
 )
@@ -105,7 +106,7 @@
 	var total, wasted float64
 	for _, a := range p.PrefillEngines {
 		ctx, cancel := context.WithTimeout(context.Background(), counterTimeout)
-		l, err := engines.NewClient(a).Load(ctx)
+		l, err := engines.NewClient(a, &answers.Budget{}).Load(ctx)
 		cancel()
 		if err != nil {
 			return -1
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"ebonyreel/answers"
 	"ebonyreel/engines"
 )
 
@@ -126,7 +127,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.engines[a] == nil {
-		r.engines[a] = engines.NewClient(a)
+		r.engines[a] = engines.NewClient(a, &answers.Budget{})
 	}
 	return r.engines[a]
 }
