Bound what waits in the system for a caller that reads slowly

Cause: the send buffer of a connection grows to megabytes by itself. Change: the buffer of callers' connections is fixed.

--- a/transport/transport.go
+++ b/transport/transport.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"expvar"
 	"log"
@@ -30,6 +31,8 @@
 	endpointDialTimeout = 250 * time.Millisecond
 	// headerTimeout bounds the time to read the headers of a request.
 	headerTimeout = 5 * time.Second
+	// callerWriteBytes is the size of the system's buffer for what a caller has not read.
+	callerWriteBytes = 64 << 10
 	// maxStreams is the number of concurrent streams that a connection allows.
 	maxStreams = 10_000
 )
@@ -126,7 +129,22 @@
 func NewCallersServer(h http.Handler) *http.Server {
 	p := &http.Protocols{}
 	p.SetHTTP1(true)
-	return &http.Server{Handler: h, Protocols: p, ReadHeaderTimeout: headerTimeout, ErrorLog: log.New(errorCounter{}, "", 0)}
+	return &http.Server{
+		Handler: h, Protocols: p, ReadHeaderTimeout: headerTimeout, ErrorLog: log.New(errorCounter{}, "", 0), ConnContext: limitWriteBuffer,
+	}
+}
+
+// limitWriteBuffer bounds what waits in the system for a caller that reads slowly. The
+// default grows to megabytes for each connection.
+func limitWriteBuffer(ctx context.Context, c net.Conn) context.Context {
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		// It fails where the connection is closed, which the first read reports.
+		_ = t.SetWriteBuffer(callerWriteBytes)
+	}
+	return ctx
 }
 
 // connectionErrors counts the log lines of servers about connection errors, such
