Count an answer that is given up until its memory is back, and let short answers pass

What callers saw: nothing yet; TestEndlessAnswers failed once in 80 runs beside much load, and once before in a run whose output was cut off: " bytes were held at once, at most wanted". Cause: an answer that was given up for another no longer counted, though its reader had not let go of it, so that the rest took its place at once; one that was whole and being written to a slow caller could be given up as well, which gave nothing back. And where such answers held the budget, short answers of sound endpoints would have been given up. Change: an answer counts until it is closed. Others wait for one that is given up, for 250 ms at most. A whole answer is not given up. The first 4 KiB of each answer and of each head are free. Why it works: what counts is what is held, so the sum never exceeds the limit.

--- a/answers/budget.go
+++ b/answers/budget.go
@@ -6,10 +6,18 @@
 	"expvar"
 	"fmt"
 	"sync"
+	"time"
 )
 
-// defaultLimit bounds what all answers take together, in bytes.
-const defaultLimit = 8 << 20
+const (
+	// defaultLimit bounds what all answers take together, in bytes.
+	defaultLimit = 8 << 20
+	// freeBytes is the memory of an answer that does not count: the answers of sound
+	// endpoints are short, and must not wait for others.
+	freeBytes = 4 << 10
+	// closeTimeout is how long an answer waits for the memory of those that were given up.
+	closeTimeout = 250 * time.Millisecond
+)
 
 // TooLongError reports an answer that was given up, as no memory was left for it or it is
 // longer than any answer may be.
@@ -23,9 +31,9 @@
 	return fmt.Sprintf("answer given up, as no memory is left for more than its first %d bytes", e.Size)
 }
 
-// Budget bounds the memory of all answers that are open at the same time. Once they exceed
-// it, the largest is given up: the answers of sound endpoints are short. The zero value is
-// ready for use. A Budget is safe for concurrent use.
+// Budget bounds the memory of all answers that are open at the same time. Where one does not
+// fit, the largest that is still being read is given up. The zero value is ready for use. A
+// Budget is safe for concurrent use.
 type Budget struct {
 	// Limit is in bytes; zero means defaultLimit. It must not change while answers are open.
 	Limit int64
@@ -33,10 +41,12 @@
 	givenUp expvar.Int
 
 	mu sync.Mutex
-	// open holds the answers that are open and not given up, and used is the sum of their
-	// sizes, at most the limit.
-	open map[*Answer]struct{}
-	used int64
+	// open holds the answers that are open. used is the sum of what they count, at most the
+	// limit, and leaving the part of it of those that were given up.
+	open          map[*Answer]struct{}
+	used, leaving int64
+	// changed is closed when an answer is closed or given up; nil while none waits for it.
+	changed chan struct{}
 }
 
 // Answer is the memory of one answer, or of a part of it. It must be closed.
@@ -44,8 +54,10 @@
 	budget *Budget
 	// giveUp ends the reading of the answer; nil where the next Grow does.
 	giveUp func()
-	// size and givenUp are guarded by the mutex of the budget.
+	// size, whole and givenUp are guarded by the mutex of the budget. A whole answer, which
+	// is read to its end, is not given up any more.
 	size    int64
+	whole   bool
 	givenUp bool
 }
 
@@ -74,74 +86,132 @@
 	return m
 }
 
-// Grow accounts for more bytes of an answer. The error is a *TooLongError where the answer
-// has been given up.
+// counted returns what an answer of some size counts.
+func counted(size int64) int64 {
+	return max(size-freeBytes, 0)
+}
+
+// Grow accounts for more bytes of an answer, before they are taken. It may wait for the
+// memory of answers that were given up. The error is a *TooLongError where this one was.
 func (a *Answer) Grow(bytes int64) error {
 	b := a.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !a.givenUp {
-		a.size += bytes
-		b.used += bytes
-		b.shrink(a)
-	}
-	if a.givenUp {
-		return &TooLongError{Size: a.size}
+	var timeout <-chan time.Time
+	for {
+		grown, changed := b.grow(a, bytes)
+		if grown {
+			return nil
+		}
+		if changed == nil {
+			return &TooLongError{Size: a.size}
+		}
+		if timeout == nil {
+			t := time.NewTimer(closeTimeout)
+			defer t.Stop()
+			timeout = t.C
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			b.mu.Lock()
+			b.leave(a)
+			b.mu.Unlock()
+			return &TooLongError{Size: a.size}
+		}
 	}
-	return nil
 }
 
-// release accounts for bytes that the answer does not take any more.
-func (a *Answer) release(bytes int64) {
-	b := a.budget
+// grow lets an answer grow if it fits. If it does not, it gives up the largest answers until
+// there will be room, and returns a channel that is closed when there may be; nil where the
+// growing answer was given up.
+func (b *Budget) grow(a *Answer, bytes int64) (grown bool, changed <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !a.givenUp {
-		a.size -= bytes
-		b.used -= bytes
+	if a.givenUp {
+		return false, nil
 	}
-}
-
-// shrink gives up the largest answers until the rest keeps to the limit. The reader of the
-// growing one learns it from Grow. b.mu must be held.
-func (b *Budget) shrink(growing *Answer) {
-	limit := b.Limit
+	more, limit := counted(a.size+bytes)-counted(a.size), b.Limit
 	if limit <= 0 {
 		limit = defaultLimit
 	}
-	for b.used > limit {
-		largest := growing
-		for a := range b.open {
-			if a.size > largest.size {
-				largest = a
+	if more == 0 || b.used+more <= limit {
+		a.size += bytes
+		b.used += more
+		return true, nil
+	}
+	for b.used-b.leaving+more > limit {
+		largest := a
+		for o := range b.open {
+			if !o.whole && !o.givenUp && o.size > max(largest.size, a.size+bytes) {
+				largest = o
 			}
 		}
-		largest.givenUp = true
-		b.remove(largest)
-		b.givenUp.Add(1)
-		if largest == growing {
-			return
+		b.leave(largest)
+		if largest == a {
+			return false, nil
 		}
 		if largest.giveUp != nil {
 			go largest.giveUp()
 		}
 	}
+	if b.changed == nil {
+		b.changed = make(chan struct{})
+	}
+	return false, b.changed
 }
 
-// remove takes an answer out of the account. b.mu must be held.
-func (b *Budget) remove(a *Answer) {
-	if _, ok := b.open[a]; ok {
-		delete(b.open, a)
-		b.used -= a.size
+// signal wakes the answers that wait. b.mu must be held.
+func (b *Budget) signal() {
+	if b.changed != nil {
+		close(b.changed)
+		b.changed = nil
 	}
 }
 
+// leave gives an answer up. b.mu must be held.
+func (b *Budget) leave(a *Answer) {
+	if !a.givenUp {
+		a.givenUp = true
+		b.leaving += counted(a.size)
+		b.givenUp.Add(1)
+		b.signal()
+	}
+}
+
+// release accounts for bytes that an answer does not take any more.
+func (a *Answer) release(bytes int64) {
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	less := counted(a.size) - counted(a.size-bytes)
+	a.size -= bytes
+	b.used -= less
+	if a.givenUp {
+		b.leaving -= less
+	}
+}
+
+// complete tells that an answer is read to its end.
+func (a *Answer) complete() {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.whole = true
+}
+
 // Close ends the accounting for an answer, whose memory must not be used any more. Further
 // calls have no effect.
 func (a *Answer) Close() {
-	a.budget.mu.Lock()
-	defer a.budget.mu.Unlock()
-	a.budget.remove(a)
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, ok := b.open[a]; !ok {
+		return
+	}
+	delete(b.open, a)
+	b.used -= counted(a.size)
+	if a.givenUp {
+		b.leaving -= counted(a.size)
+	}
+	b.signal()
 }
 
 // cause returns why a read failed: a *TooLongError where the answer was given up.
--- a/answers/read.go
+++ b/answers/read.go
@@ -10,7 +10,7 @@
 const (
 	// firstBytes is the size of the first buffer, which holds most answers, and chunkBytes
 	// that of the others.
-	firstBytes = 4 << 10
+	firstBytes = freeBytes
 	chunkBytes = 32 << 10
 )
 
@@ -30,6 +30,7 @@
 	first := make([]byte, firstBytes)
 	n, err := readFull(r, first)
 	if errors.Is(err, io.EOF) && n <= limit {
+		a.complete()
 		return first[:n], nil
 	}
 	var rest []*chunk
@@ -67,6 +68,7 @@
 		out = append(out, c[:min(chunkBytes, length-len(out))]...)
 	}
 	a.release(firstBytes + int64(len(rest))*chunkBytes)
+	a.complete()
 	return out, nil
 }
 
--- a/answers/transport.go
+++ b/answers/transport.go
@@ -127,7 +127,10 @@
 // Read reads from the body. The error is a *TooLongError where the head was given up.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
+		b.head.complete()
+	case err != nil:
 		err = b.head.cause(err)
 	}
 	return n, err
