Read lines of events that are longer than the reader's buffer as one line

Cause: a line longer than 4 KiB comes in parts, and each later part was taken for a line of its own. Where it was empty, as the line was 4,096 bytes long, the event counted as whole before its end, so that a stream resumed elsewhere could go on after an event that its caller did not receive whole. Where it began with "id:", the rest of the data was taken for the event's ID. Why it works: only a part that begins a line is looked at.

--- a/relay/event_reader.go
+++ b/relay/event_reader.go
@@ -72,6 +72,8 @@
 func (e *eventReader) next() ([]byte, error) {
 	e.event, e.hasFields = e.event[:0], false
 	id := e.id
+	// continued is true where the line does not begin with what is read.
+	continued := false
 	for {
 		line, err := e.source.ReadSlice('\n')
 		if err := e.add(line); err != nil {
@@ -79,12 +81,18 @@
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
+			e.hasFields = e.hasFields || !continued && line[0] != ':'
+			continued = true
 			continue
 		case errors.Is(err, io.EOF) && len(e.event) > 0:
 			return nil, &PartialEventError{Bytes: len(e.event)}
 		case err != nil:
 			return nil, err
 		}
+		if continued {
+			continued = false
+			continue
+		}
 		line = bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimPrefix(value, []byte(" ")))
