--- a/relay/forward.go
+++ b/relay/forward.go
@@ -17,8 +17,8 @@
 // the time that it took to arrive. Two answers are errors instead: one in place of a
 // started stream, which can't continue with it, and a server error on a repeatable
 // route. The latter is kept for the caller in case no other endpoint does better.
-func (r *Relay) forwardAnswer(cs *callState, reply *Reply, start time.Time) (time.Duration, error) {
-	memory := r.answers.Open(func() { _ = reply.Body.Close() })
+func (r *Relay) forwardAnswer(cs *callState, reply *Reply, monitor *stallMonitor, start time.Time) (time.Duration, error) {
+	memory := r.answers.Open(monitor.giveUp)
 	defer func() {
 		if !cs.keeps(reply) {
 			memory.Close()
@@ -51,7 +51,7 @@
 	var previous, began time.Time
 	// comments are those that came before the first event.
 	var comments []byte
-	memory := r.answers.Open(func() { _ = reply.Body.Close() })
+	memory := r.answers.Open(monitor.giveUp)
 	defer memory.Close()
 	reader := newEventReader(reply.Body, cs.lastEvent, memory)
 	for {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -440,7 +440,7 @@
 	if reply.Events {
 		return r.forwardStream(cs, reply, monitor, start)
 	}
-	return r.forwardAnswer(cs, reply, start)
+	return r.forwardAnswer(cs, reply, monitor, start)
 }
 
 // reply returns the head of the answer to an attempt, which may have begun before.
--- a/relay/stall_monitor.go
+++ b/relay/stall_monitor.go
@@ -80,6 +80,11 @@
 	m.timer = nil
 }
 
+// giveUp cancels the attempt, as no memory is left for its answer.
+func (m *stallMonitor) giveUp() {
+	m.cancel(nil)
+}
+
 // stallCause returns the stall where it cancelled the attempt, and err otherwise.
 func stallCause(ctx context.Context, err error) error {
 	var stall *StallError
