Let an answer that is closed grow no more

What callers would have seen: once heads had been cancelled often enough, long answers given up at an idle entry. Cause: where a call is cancelled while its head arrives, net/http may read the connection once more after the answer was closed. That counted, and nothing gave it back. Evidence: TestPlatformEndlessAnswers, "head of short names, slowly", failed once in the two runs of it that looked: "condition not met within 5s: no answer counts any more". Why it works: only open answers count, and an answer leaves the account with what it has.

--- a/answers/budget.go
+++ b/answers/budget.go
@@ -92,7 +92,8 @@
 }
 
 // Grow accounts for more bytes of an answer, before they are taken. It may wait for the
-// memory of answers that were given up. The error is a *TooLongError where this one was.
+// memory of answers that were given up. The error is a *TooLongError where this one was, or
+// is closed.
 func (a *Answer) Grow(bytes int64) error {
 	b := a.budget
 	var timeout <-chan time.Time
@@ -126,7 +127,8 @@
 func (b *Budget) grow(a *Answer, bytes int64) (grown bool, changed <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a.givenUp {
+	// A connection may still be read for a moment after its answer was closed.
+	if _, ok := b.open[a]; !ok || a.givenUp {
 		return false, nil
 	}
 	more, limit := counted(a.size+bytes)-counted(a.size), b.Limit
@@ -167,9 +169,9 @@
 	}
 }
 
-// leave gives an answer up. b.mu must be held.
+// leave gives an answer up unless it is closed. b.mu must be held.
 func (b *Budget) leave(a *Answer) {
-	if !a.givenUp {
+	if _, ok := b.open[a]; ok && !a.givenUp {
 		a.givenUp = true
 		b.leaving += counted(a.size)
 		b.givenUp.Add(1)
