Take the budget for answers from the memory of the process

Cause: an entry had 8 MiB for all answers, whatever its memory, and a long answer is held twice while its buffers are joined, so that one of more than 4 MiB was always given up. Change: the rule of agents for all processes: 12 parts in a hundred of MemoryMegabytes, 13.4 MiB of 112, or 64 MiB without it. Evidence: TestPlatformEndlessAnswers with an entry of 112 MiB: 84 MiB at most over 13 kinds of answers (75 before), all sound calls served; TestAgentEndlessAnswers 135 MiB of 216.

--- a/cmd/agent/command.go
+++ b/cmd/agent/command.go
@@ -10,7 +10,6 @@
 	"github.com/spf13/cobra"
 
 	"ebonyreel/agent"
-	"ebonyreel/answers"
 	"ebonyreel/controls"
 	"ebonyreel/document"
 	"ebonyreel/endpoints"
@@ -23,16 +22,9 @@
 	"ebonyreel/transport"
 )
 
-const (
-	// drainPoll is the interval at which a drain checks whether the last call has
-	// ended.
-	drainPoll = 50 * time.Millisecond
-	// answersPercent is the part of the agent's memory for answers of the endpoint. Each
-	// is held a second time while it is sent to the entry.
-	answersPercent = 12
-	// defaultAnswersBytes is used without a limit on the agent's memory.
-	defaultAnswersBytes = 64 << 20
-)
+// drainPoll is the interval at which a drain checks whether the last call has
+// ended.
+const drainPoll = 50 * time.Millisecond
 
 func newCommand() *cobra.Command {
 	var file string
@@ -60,6 +52,7 @@
 func run(file string, s settings.Agent) error {
 	log := logs.New("agent", s.Name)
 	defer logs.Flush(log)
+	process.LimitMemory(s.MemoryMegabytes)
 	tracer, err := traces.Open(s.TraceFile, "agent", s.Name)
 	if err != nil {
 		return err
@@ -81,7 +74,7 @@
 	view := controls.NewView(client, s.Environment, log)
 	view.ExcludeCallers()
 	announcer := controls.NewAnnouncer(client, view, member(s), log)
-	a := agent.New(ctx, client, announcer, view, limitMemory(s.MemoryMegabytes), tracer, log)
+	a := agent.New(ctx, client, announcer, view, process.NewAnswerBudget(s.MemoryMegabytes), tracer, log)
 	go process.Reload(ctx, file, log, func() error {
 		changed, err := settings.ReadAgent(file)
 		if err == nil {
@@ -113,18 +106,6 @@
 	return tracer.Close(ctx)
 }
 
-// limitMemory limits the memory of the process to some mebibytes, where zero means no limit,
-// and returns the budget for answers of the endpoint.
-func limitMemory(megabytes int) *answers.Budget {
-	process.LimitMemory(megabytes)
-	b := &answers.Budget{Limit: int64(megabytes) << 20 * answersPercent / 100}
-	if megabytes == 0 {
-		b.Limit = defaultAnswersBytes
-	}
-	process.PublishMetric("Answers", b.Metrics())
-	return b
-}
-
 // announceWhenReady joins the membership, and keeps the lease, once an endpoint
 // is ready for work.
 func announceWhenReady(ctx context.Context, a *agent.Agent, n *controls.Announcer) {
--- a/cmd/control/command.go
+++ b/cmd/control/command.go
@@ -9,7 +9,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
-	"ebonyreel/answers"
 	"ebonyreel/control"
 	"ebonyreel/logs"
 	"ebonyreel/platform"
@@ -108,9 +107,8 @@
 	routes.Handle(controlv1connect.NewStreamServiceHandler(streams.NewRegister(maxStreams), connect.WithInterceptors(security.CheckKey)))
 	go allocator.Run(ctx)
 	process.PublishMetric("Quotas", allocator.QuotaMetrics())
-	answerBudget := &answers.Budget{}
-	process.PublishMetric("Answers", answerBudget.Metrics())
-	go control.NewBalancer(store, platform.NewEndpointClient(answerBudget), allocator, s.Environment, time.Duration(s.OrderPause), log).Run(ctx)
+	client := platform.NewEndpointClient(process.NewAnswerBudget(s.MemoryMegabytes))
+	go control.NewBalancer(store, client, allocator, s.Environment, time.Duration(s.OrderPause), log).Run(ctx)
 }
 
 func peerRoutes(store *control.Store, s *process.Security) *http.ServeMux {
--- a/cmd/entry/platform.go
+++ b/cmd/entry/platform.go
@@ -7,7 +7,6 @@
 
 	"connectrpc.com/connect"
 
-	"ebonyreel/answers"
 	"ebonyreel/controls"
 	"ebonyreel/entry"
 	"ebonyreel/platform"
@@ -24,8 +23,7 @@
 	budget := relay.RetryBudget{
 		Ratio: s.RetryBudget.Ratio, Slack: s.RetryBudget.Slack, Window: time.Duration(s.RetryBudget.Window), Since: time.Now(),
 	}
-	answerBudget := &answers.Budget{}
-	process.PublishMetric("Answers", answerBudget.Metrics())
+	answerBudget := process.NewAnswerBudget(s.MemoryMegabytes)
 	client := platform.NewEndpointClient(answerBudget)
 	r := relay.New(p.view, client, client, controls.NewStrikes(p.client, p.view), s.FailureDomain, budget, p.resources.decisions, p.log)
 	r.SetAnswers(answerBudget)
--- a/process/reload.go
+++ b/process/reload.go
@@ -5,7 +5,6 @@
 	"context"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -16,11 +15,6 @@
 // changes without a signal.
 const reloadInterval = time.Second
 
-// memoryLimitPercent is the soft memory limit of the Go runtime in percent of
-// the memory that the process may use. The rest is for memory that the runtime
-// does not count, such as socket buffers.
-const memoryLimitPercent = 60
-
 // Reload calls apply when the content of the settings file has changed, until
 // the context ends. It checks the file on SIGHUP and every reloadInterval. When
 // apply returns an error, the old settings stay in force.
@@ -55,12 +49,3 @@
 		log.Info("settings read again")
 	}
 }
-
-// LimitMemory sets the soft memory limit of the Go runtime to
-// memoryLimitPercent of the memory that the process may use, in mebibytes, so
-// that garbage is collected before the process exceeds it. Zero sets no limit.
-func LimitMemory(megabytes int) {
-	if megabytes > 0 {
-		debug.SetMemoryLimit(int64(megabytes) << 20 * memoryLimitPercent / 100)
-	}
-}
--- a/services/client.go
+++ b/services/client.go
@@ -73,10 +73,10 @@
 }
 
 // NewClient returns a client for the service at an address, which accounts for answers in
-// a budget. Each call has a
-// connection of its own: the standard transport sends a call again by itself when a
-// kept connection turns out to be closed and the call has an Idempotency-Key, but a
-// non-idempotent call must never be sent twice. Redirects are not followed.
+// a budget. Each call has a connection of its own: the standard transport sends a call
+// again by itself when a kept connection turns out to be closed and the call has an
+// Idempotency-Key, but a non-idempotent call must never be sent twice. Redirects are not
+// followed.
 func NewClient(a netip.AddrPort, b *answers.Budget) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
