Log broken answers that are not counted as crashes

The logs could not tell why a break counted for nothing: one whose endpoint accepts connections left no line, nor did a stream that ended with its connection.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -6,6 +6,8 @@
 	"math"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"ebonyreel/answers"
 )
 
@@ -61,6 +63,9 @@
 				// The endpoint crashed before its first event.
 				return latency, io.ErrUnexpectedEOF
 			}
+			if reply.Unframed && !cs.sound {
+				r.logger(cs, nil).WithFields(logrus.Fields{"Endpoint": cs.endpoint.Name, "Events": cs.attemptEvents}).Info("stream ended with its connection")
+			}
 			if cs.attemptEvents > 0 {
 				r.markSound(cs)
 			}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -196,7 +196,7 @@
 		err := r.attempt(ctx, cs)
 		callerGone := errors.Is(ctx.Err(), context.Canceled)
 		if err != nil && !callerGone && suggestsCrash(err) {
-			r.reportCrash(cs)
+			r.reportCrash(cs, err)
 		}
 		r.returnTrial(cs)
 		if err == nil {
--- a/relay/strike.go
+++ b/relay/strike.go
@@ -78,18 +78,21 @@
 	// them. trial are those that the call was the trial of.
 	partDigests []string
 	trial       []string
+	// cause is the error of the call, and at when it was seen.
+	cause error
+	at    time.Time
 }
 
 // reportCrash queues a crash report for a call without blocking, with its trial.
-func (r *Relay) reportCrash(cs *callState) {
-	r.reportCrashAt(cs, cs.endpoint)
+func (r *Relay) reportCrash(cs *callState, cause error) {
+	r.reportCrashAt(cs, cs.endpoint, cause)
 }
 
 // reportCrashAt queues a crash report for a call at an endpoint.
-func (r *Relay) reportCrashAt(cs *callState, at Endpoint) {
+func (r *Relay) reportCrashAt(cs *callState, at Endpoint, cause error) {
 	c := crashReport{
 		request: cs.call.ID, digest: cs.call.digest(), endpoint: at, parts: cs.call.Prompt.sharedParts(), began: cs.attemptEvents > 0,
-		trial: cs.trial,
+		trial: cs.trial, cause: cause, at: time.Now(),
 	}
 	if !cs.sound {
 		c.partDigests = cs.partDigests()
@@ -123,6 +126,10 @@
 // connections has not crashed, but only lost an answer.
 func (r *Relay) recordCrash(ctx context.Context, c crashReport) {
 	if r.engines.Alive(ctx, c.endpoint) {
+		r.log.WithError(c.cause).WithFields(logrus.Fields{
+			"Request": logs.Truncate(c.request), "Endpoint": c.endpoint.Name, "Lifetime": c.endpoint.Lifetime, "Began": c.began,
+			"PromptParts": logs.TruncateList(c.parts), "Trial": c.trial != nil, "AgeMilliseconds": time.Since(c.at).Milliseconds(),
+		}).Info("broken answer not counted as a crash, the endpoint accepts connections")
 		if c.trial != nil {
 			r.endTrial(ctx, controlv1.StrikeChange_STRIKE_CHANGE_RETURN, c.request, c.trial)
 		}
