--- a/proof/platform_engine_test.go
+++ b/proof/platform_engine_test.go
@@ -50,6 +50,11 @@
 	// crashes and reached are when an engine crashed, and when a call with the crashing
 	// part reached an engine.
 	crashes, reached []time.Time
+	// end serves a call with the crashing part, and ends its engine. It must be set before
+	// the first call; nil breaks the answer before its first event.
+	end engineEnd
+	// endsInPrefill is true where an engine ends by a prefill with the crashing part.
+	endsInPrefill bool
 }
 
 // announcedEndpoint is what one start of an endpoint announces of itself.
@@ -72,13 +77,17 @@
 	server  *http.Server
 	stop    context.CancelFunc
 
-	// mu guards the stage, leaves and pausedUntil.
+	// mu guards the stage, leaves, pausedUntil, connections and ended.
 	mu sync.Mutex
 	announcedEndpoint
 	// leaves is true once the engine says so in its answers, and pausedUntil is until when
 	// it turns calls away.
 	leaves      bool
 	pausedUntil time.Time
+	// connections are those that are open.
+	connections map[net.Conn]bool
+	// ended is true once the engine has crashed.
+	ended bool
 }
 
 // start starts an engine of a version at an address until the context ends.
@@ -101,7 +110,7 @@
 		return
 	}
 	running, stop := context.WithCancel(ctx)
-	e.stop, e.server = stop, &http.Server{Handler: e, ReadHeaderTimeout: time.Second}
+	e.stop, e.server = stop, &http.Server{Handler: e, ReadHeaderTimeout: time.Second, ConnState: e.track}
 	p.mu.Lock()
 	if p.running == nil {
 		p.running = map[string]*platformEngine{}
@@ -146,13 +155,41 @@
 
 // crash breaks all connections, and starts the engine under another name later.
 func (e *platformEngine) crash() {
+	if e.endsNow() {
+		e.retire()
+		e.startAgain(platformDowntime, "")
+	}
+}
+
+// endsNow counts a crash, unless the engine has ended before.
+func (e *platformEngine) endsNow() bool {
+	e.mu.Lock()
+	ended := e.ended
+	e.ended = true
+	e.mu.Unlock()
+	if !ended {
+		e.countCrash()
+	}
+	return !ended
+}
+
+func (e *platformEngine) countCrash() {
 	p := e.engines
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.crashes = append(p.crashes, time.Now())
-	p.mu.Unlock()
-	e.retire()
-	time.AfterFunc(platformDowntime, func() {
-		if p.t.Context().Err() == nil {
+}
+
+// startAgain starts the engine again at its address later, under a name or another one
+// than before.
+func (e *platformEngine) startAgain(after time.Duration, name string) {
+	p := e.engines
+	time.AfterFunc(after, func() {
+		switch {
+		case p.t.Context().Err() != nil:
+		case name != "":
+			p.startNamed(p.t.Context(), name, e.address, e.currentStage(), e.version)
+		default:
 			p.start(p.t.Context(), e.address, e.currentStage(), e.version)
 		}
 	})
@@ -194,6 +231,8 @@
 	case r.Header.Get("X-Expect-Instance") != e.name:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case e.turnsAway(w, r):
+	case r.URL.Path == "/report":
+		e.reply(w, map[string]any{"stage": e.currentStage(), "born": e.born.UnixMilli()})
 	case r.URL.Path == "/hold-take":
 		e.reply(w, map[string]any{"hold": fmt.Sprint("h-", time.Now().UnixNano())})
 	case r.URL.Path == "/order":
@@ -229,6 +268,10 @@
 	}
 	if r.Header.Get("X-Stage") == "prefill" {
 		clock.Sleep(r.Context(), platformGap/2)
+		if bad && e.engines.endsInPrefill {
+			e.crash()
+			panic(http.ErrAbortHandler)
+		}
 		e.reply(w, map[string]any{"kvHandle": fmt.Sprint("k-", time.Now().UnixNano()), "tokens": 3000, "version": 1})
 		return
 	}
@@ -239,7 +282,9 @@
 		return
 	}
 	if bad {
-		if clock.Sleep(r.Context(), platformCrashDelay) {
+		if e.engines.end != nil {
+			e.engines.end(e, w, r)
+		} else if clock.Sleep(r.Context(), platformCrashDelay) {
 			e.crash()
 		}
 		panic(http.ErrAbortHandler)
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -88,6 +88,19 @@
 
 // checkPartCrashes checks the bounds on calls with the crashing part and on sound ones.
 func checkPartCrashes(t *testing.T, engines *platformEngines, sound []soundCall) {
+	t.Helper()
+	late, begun, all := countPartCrashes(t, engines, sound)
+	if late > lateCalls {
+		t.Errorf("%d calls with the crashing part reached engines later than %s after crash %d, %d allowed", late, crashBound, crashesBeforeBound, lateCalls)
+	}
+	if 2*begun < all || all == 0 {
+		t.Errorf("%d of %d sound calls begin", begun, all)
+	}
+}
+
+// countPartCrashes returns the number of calls with the crashing part that reached engines
+// too late, and of the sound calls after the bound those that began and all.
+func countPartCrashes(t *testing.T, engines *platformEngines, sound []soundCall) (late, begun, all int) {
 	t.Helper()
 	engines.mu.Lock()
 	defer engines.mu.Unlock()
@@ -95,13 +108,11 @@
 		t.Fatal("no engine crashed")
 	}
 	bound := engines.crashes[min(crashesBeforeBound, len(engines.crashes))-1]
-	late := 0
 	for _, at := range engines.reached {
 		if len(engines.crashes) >= crashesBeforeBound && at.Sub(bound) > crashBound {
 			late++
 		}
 	}
-	begun, all := 0, 0
 	for _, s := range sound {
 		if s.sent.Sub(bound) > soundBound {
 			all++
@@ -111,12 +122,7 @@
 		}
 	}
 	t.Logf("%d crashes, %d calls beyond the bound, %d of %d sound calls begin", len(engines.crashes), late, begun, all)
-	if late > lateCalls {
-		t.Errorf("%d calls with the crashing part reached engines later than %s after crash %d, %d allowed", late, crashBound, crashesBeforeBound, lateCalls)
-	}
-	if 2*begun < all || all == 0 {
-		t.Errorf("%d of %d sound calls begin", begun, all)
-	}
+	return late, begun, all
 }
 
 // startPlatform starts control hosts, engines of some versions, and entries that serve.
