Judge a broken answer by the lifetime of its endpoint

Callers saw calls with a crashing part end engine after engine. A break counted only if the address refused a connection at that moment, so that a dying process which accepted connections for 10 ms more had not crashed, for good. Now the endpoint is asked by name until it has gone on for 0.8 s, and its record counts too: a later start of its name, or its loss, is an end. Reports of one start share these checks, and are bounded together with those that wait for control.

--- a/relay/crashing_part_test.go
+++ b/relay/crashing_part_test.go
@@ -238,6 +238,17 @@
 	return err == nil
 }
 
+func (c *crashingEngines) CheckLifetime(ctx context.Context, e Endpoint) Lifetime {
+	if c.Alive(ctx, e) {
+		return LifetimeRunning
+	}
+	return LifetimeEnded
+}
+
+func (c *crashingEngines) CheckListener(ctx context.Context, e Endpoint) Lifetime {
+	return c.CheckLifetime(ctx, e)
+}
+
 func (c *crashingEngines) ReleaseReservation(context.Context, Endpoint, string) error { return nil }
 
 // sharedStrikes are the strikes in control's state.
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -51,6 +51,10 @@
 	Reserve(ctx context.Context, e Endpoint, tokens int, ttl time.Duration) (string, error)
 	// Alive reports whether an endpoint accepts connections.
 	Alive(ctx context.Context, e Endpoint) bool
+	// CheckLifetime asks an engine whether it still runs in the lifetime of its record.
+	CheckLifetime(ctx context.Context, e Endpoint) Lifetime
+	// CheckListener checks whether anything accepts connections at an endpoint's address.
+	CheckListener(ctx context.Context, e Endpoint) Lifetime
 	// ReleaseReservation releases a reservation.
 	ReleaseReservation(ctx context.Context, e Endpoint, id string) error
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -89,6 +89,10 @@
 	// yet verified and counted.
 	strikes      Strikes
 	crashReports chan crashReport
+	// lifetimes has the reports that wait for a verdict, and recordings bounds those that
+	// are recorded at once.
+	lifetimes  lifetimeWatch
+	recordings chan struct{}
 	// parts are the parts of prompts with which answers were generated.
 	parts partLedger
 	// retryAccounts maps the name of a pool to its *retryAccount.
@@ -122,7 +126,8 @@
 func New(fleet Fleet, sender Sender, engines Engines, strikes Strikes, domain string, budget RetryBudget, decisions *decision.Log, log *logrus.Entry) *Relay {
 	return &Relay{
 		fleet: newSteadyFleet(fleet, budget.Window), sender: sender, engines: engines, strikes: strikes, domain: domain, budget: budget, decisions: decisions, log: log, metrics: newMetrics(),
-		answers: &answers.Budget{}, workload: &workload.Recorder{}, crashReports: make(chan crashReport, crashReportBuffer), random: rand.Float64, streams: noStreams{},
+		answers: &answers.Budget{}, workload: &workload.Recorder{}, crashReports: make(chan crashReport, crashReportBuffer), recordings: make(chan struct{}, maxConcurrentReports),
+		random: rand.Float64, streams: noStreams{},
 	}
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -274,6 +274,17 @@
 
 func (s *scriptedEndpoints) Alive(context.Context, Endpoint) bool { return s.alive }
 
+func (s *scriptedEndpoints) CheckLifetime(context.Context, Endpoint) Lifetime {
+	if s.alive {
+		return LifetimeRunning
+	}
+	return LifetimeEnded
+}
+
+func (s *scriptedEndpoints) CheckListener(ctx context.Context, e Endpoint) Lifetime {
+	return s.CheckLifetime(ctx, e)
+}
+
 func (s *scriptedEndpoints) ReleaseReservation(context.Context, Endpoint, string) error { return nil }
 
 // HasStrikes, Strikes and AddStrike stand in for control, and count strikes at once.
--- a/relay/strike.go
+++ b/relay/strike.go
@@ -20,11 +20,10 @@
 	maxStrikes = 3
 	// crashingRetryAfter is when a caller may send such a content again.
 	crashingRetryAfter = time.Minute
-	// crashReportBuffer bounds the number of waiting crash reports. Further ones
-	// are logged and dropped.
+	// crashReportBuffer bounds the number of crash reports that are not taken yet. Further
+	// ones are logged and dropped.
 	crashReportBuffer = 256
-	// maxConcurrentReports bounds the reports that are verified and recorded at once, so
-	// that one of an endpoint that does not answer holds up no other.
+	// maxConcurrentReports bounds the reports that are recorded at once.
 	maxConcurrentReports = 64
 	// strikeTimeout bounds the recording of one strike.
 	strikeTimeout = 2 * time.Second
@@ -70,6 +69,8 @@
 	request  string
 	digest   string
 	endpoint Endpoint
+	// engine is true for a model engine.
+	engine bool
 	// parts are the IDs of the parts of the prompt that other prompts may share, and
 	// began is true where the endpoint had sent events of the answer.
 	parts []string
@@ -91,8 +92,8 @@
 // reportCrashAt queues a crash report for a call at an endpoint.
 func (r *Relay) reportCrashAt(cs *callState, at Endpoint, cause error) {
 	c := crashReport{
-		request: cs.call.ID, digest: cs.call.digest(), endpoint: at, parts: cs.call.Prompt.sharedParts(), began: cs.attemptEvents > 0,
-		trial: cs.trial, cause: cause, at: time.Now(),
+		request: cs.call.ID, digest: cs.call.digest(), endpoint: at, engine: cs.reservesMemory(), parts: cs.call.Prompt.sharedParts(),
+		began: cs.attemptEvents > 0, trial: cs.trial, cause: cause, at: time.Now(),
 	}
 	if !cs.sound {
 		c.partDigests = cs.partDigests()
@@ -101,42 +102,35 @@
 	case r.crashReports <- c:
 		cs.trial = nil
 	default:
-		r.logger(cs, nil).Warn("crash not counted, too many reports are waiting")
+		r.logReport(c).Warn("crash not counted, too many reports are waiting")
 	}
 }
 
 // RunStrikes records strikes for crash reports until the context ends.
 func (r *Relay) RunStrikes(ctx context.Context) {
-	running := make(chan struct{}, maxConcurrentReports)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case c := <-r.crashReports:
-			running <- struct{}{}
-			go func() {
-				defer func() { <-running }()
-				r.recordCrash(ctx, c)
-			}()
+			r.watchReport(ctx, c)
 		}
 	}
 }
 
-// recordCrash records the strikes for a crash report. An endpoint that still accepts
-// connections has not crashed, but only lost an answer.
-func (r *Relay) recordCrash(ctx context.Context, c crashReport) {
-	if r.engines.Alive(ctx, c.endpoint) {
-		r.log.WithError(c.cause).WithFields(logrus.Fields{
-			"Request": logs.Truncate(c.request), "Endpoint": c.endpoint.Name, "Lifetime": c.endpoint.Lifetime, "Began": c.began,
-			"PromptParts": logs.TruncateList(c.parts), "Trial": c.trial != nil, "AgeMilliseconds": time.Since(c.at).Milliseconds(),
-		}).Info("broken answer not counted as a crash, the endpoint accepts connections")
-		if c.trial != nil {
-			r.endTrial(ctx, controlv1.StrikeChange_STRIKE_CHANGE_RETURN, c.request, c.trial)
-		}
+// endReport acts on the verdict on a crash report.
+func (r *Relay) endReport(ctx context.Context, c crashReport, v verdict) {
+	r.logReport(c).WithField("Verdict", v).Info("broken answer judged")
+	if v == verdictCrashed {
+		r.recordings <- struct{}{}
+		defer func() { <-r.recordings }()
+		r.addPartStrikes(ctx, c)
+		r.addStrike(ctx, c)
 		return
 	}
-	r.addPartStrikes(ctx, c)
-	r.addStrike(ctx, c)
+	if c.trial != nil {
+		r.endTrial(ctx, controlv1.StrikeChange_STRIKE_CHANGE_RETURN, c.request, c.trial)
+	}
 }
 
 func (r *Relay) addStrike(ctx context.Context, c crashReport) {
