Take parts for sound only once a whole answer was generated with them

Callers saw calls with a crashing part go on after the part was sound for a minute: an answer that went on for 0.5 s cleared its parts, and so did one that ended with its connection after an event, although the engine crashed by it. An answer clears its parts now once it is whole. One whose end is that of its connection is whole only if the lifetime of its endpoint goes on, which is checked like a broken answer. Answers that are no streams clear their parts too.

--- a/relay/begun_attempt.go
+++ b/relay/begun_attempt.go
@@ -35,7 +35,7 @@
 	cancel()
 	r.endAttempt(ctx, cs, s, t, 0, err)
 	if suggestsCrash(err) {
-		r.reportCrashAt(cs, t.Endpoint, err)
+		r.queueReport(cs, r.newReport(cs, t.Endpoint, reportBroken, err))
 	}
 	cs.prepared = nil
 	return false
--- a/relay/call_state.go
+++ b/relay/call_state.go
@@ -60,11 +60,9 @@
 	eventCount int
 	// attemptEvents is the number of events received in the current or last attempt.
 	attemptEvents int
-	// parts are the digests of the shared parts of the prompt. sound is true once an
-	// endpoint generated an answer with them, and trial are those that the call is the
-	// trial of.
+	// parts are the digests of the shared parts of the prompt, and trial are those that
+	// the call is the trial of.
 	parts []string
-	sound bool
 	trial []string
 	// firstSent is when the caller was sent the answer or its first event, lastSent
 	// when it was sent its last event, and longestGap the longest time between two
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -4,10 +4,9 @@
 	"errors"
 	"io"
 	"math"
+	"net/http"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"ebonyreel/answers"
 )
 
@@ -37,6 +36,9 @@
 		cs.keepFailed(&failedAnswer{reply: reply, body: body, memory: memory})
 		return 0, &StatusError{Status: reply.Status}
 	}
+	if reply.Status < http.StatusMultipleChoices {
+		r.proveParts(cs, reply)
+	}
 	latency := time.Since(start)
 	cs.firstSent = time.Now()
 	r.metrics.First.observe(string(cs.route.Kind), cs.firstSent.Sub(cs.call.Arrived))
@@ -48,9 +50,8 @@
 // returns the time until the first one.
 func (r *Relay) forwardStream(cs *callState, reply *Reply, monitor *stallMonitor, start time.Time) (time.Duration, error) {
 	var latency time.Duration
-	// previous is when the last event of this attempt arrived, and began when the first
-	// one did.
-	var previous, began time.Time
+	// previous is when the last event of this attempt arrived.
+	var previous time.Time
 	// comments are those that came before the first event.
 	var comments []byte
 	memory := r.answers.Open(monitor.giveUp)
@@ -63,11 +64,8 @@
 				// The endpoint crashed before its first event.
 				return latency, io.ErrUnexpectedEOF
 			}
-			if reply.Unframed && !cs.sound {
-				r.logger(cs, nil).WithFields(logrus.Fields{"Endpoint": cs.endpoint.Name, "Events": cs.attemptEvents}).Info("stream ended with its connection")
-			}
 			if cs.attemptEvents > 0 {
-				r.markSound(cs)
+				r.proveParts(cs, reply)
 			}
 			return latency, r.finishStream(cs, reply, comments)
 		}
@@ -89,12 +87,9 @@
 			event, comments = append(comments, event...), nil
 		}
 		if latency == 0 {
-			latency, began = max(time.Since(start), 1), time.Now()
+			latency = max(time.Since(start), 1)
 		}
 		now := time.Now()
-		if !cs.sound && now.Sub(began) >= soundAfter {
-			r.markSound(cs)
-		}
 		if !previous.IsZero() && cs.reservesMemory() {
 			r.workload.Decoded(cs.pool.Name, cs.eventTokens(), now.Sub(previous))
 			r.runs.flowed(cs.run, now.Sub(previous)/time.Duration(cs.eventTokens()))
--- a/relay/lifetime.go
+++ b/relay/lifetime.go
@@ -15,12 +15,12 @@
 const (
 	// settleTime is how long an endpoint must go on in the same lifetime after a broken
 	// answer for that to be no crash. A dying process accepts connections for a while.
-	settleTime = 800 * time.Millisecond
+	settleTime = 700 * time.Millisecond
 	// maxCheckTime is when a crash report of an endpoint that can't be asked is given up.
 	maxCheckTime = 3 * time.Second
 	// firstCheckInterval is the time from the first check of a lifetime to the second one.
 	// It doubles up to maxCheckInterval.
-	firstCheckInterval = 25 * time.Millisecond
+	firstCheckInterval = 100 * time.Millisecond
 	maxCheckInterval   = 400 * time.Millisecond
 	// checkTimeout bounds one check.
 	checkTimeout = 500 * time.Millisecond
@@ -186,9 +186,13 @@
 
 // logReport returns a logger with the fields of a report.
 func (r *Relay) logReport(c crashReport) *logrus.Entry {
+	cause := ""
+	if c.cause != nil {
+		cause = logs.Truncate(c.cause.Error())
+	}
 	return r.log.WithFields(logrus.Fields{
-		"Request": logs.Truncate(c.request), "Content": logs.Truncate(c.digest), "Endpoint": c.endpoint.Name, "Lifetime": c.endpoint.Lifetime,
+		"Ended": c.kind, "Request": logs.Truncate(c.request), "Content": logs.Truncate(c.digest), "Endpoint": c.endpoint.Name, "Lifetime": c.endpoint.Lifetime,
 		"Began": c.began, "PromptParts": logs.TruncateList(c.parts), "Trial": c.trial != nil,
-		"AgeMilliseconds": time.Since(c.at).Milliseconds(), "Cause": logs.Truncate(c.cause.Error()),
+		"AgeMilliseconds": time.Since(c.at).Milliseconds(), "Cause": cause,
 	})
 }
--- a/relay/part.go
+++ b/relay/part.go
@@ -20,9 +20,6 @@
 	partCrashLimit = 3
 	// maxCheckedParts bounds the parts of one prompt that are checked.
 	maxCheckedParts = 16
-	// soundAfter is how long an endpoint must go on with an answer for the parts of its
-	// prompt to be sound.
-	soundAfter = 500 * time.Millisecond
 	// soundMemory is how long this entry remembers that a part is sound.
 	soundMemory = time.Minute
 	// partChangeInterval is the least time between two requests to control to change the
@@ -56,7 +53,7 @@
 // empty. It is safe for concurrent use.
 type partLedger struct {
 	mu sync.Mutex
-	// sound maps the digest of a part to when an answer was last generated with it, and
+	// sound maps the digest of a part to when a whole answer was last generated with it, and
 	// asked the digest and a change to when control was last asked for it.
 	sound map[string]time.Time
 	asked map[partChange]time.Time
@@ -250,10 +247,26 @@
 	}
 }
 
-// markSound records that an endpoint generates an answer to a call.
-func (r *Relay) markSound(cs *callState) {
-	cs.sound, cs.trial = true, nil
-	digests := cs.partDigests()
+// unproven returns the parts of a call's prompt that are not known as sound.
+func (r *Relay) unproven(cs *callState) []string {
+	return slices.DeleteFunc(slices.Clone(cs.partDigests()), r.isSound)
+}
+
+// proveParts records that an endpoint generated an answer to a call. One that ended
+// with its connection may have been cut off by a crash, so that the endpoint's lifetime
+// must go on for it to count.
+func (r *Relay) proveParts(cs *callState, reply *Reply) {
+	switch {
+	case !reply.Unframed:
+		cs.trial = nil
+		r.markSound(cs.partDigests())
+	case cs.trial != nil, len(r.unproven(cs)) > 0:
+		r.queueReport(cs, r.newReport(cs, cs.endpoint, reportComplete, nil))
+	}
+}
+
+// markSound records that a whole answer was generated with parts.
+func (r *Relay) markSound(digests []string) {
 	r.parts.markSound(digests, time.Now())
 	if !r.strikes.HasStrikes() {
 		return
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -201,7 +201,7 @@
 		err := r.attempt(ctx, cs)
 		callerGone := errors.Is(ctx.Err(), context.Canceled)
 		if err != nil && !callerGone && suggestsCrash(err) {
-			r.reportCrash(cs, err)
+			r.queueReport(cs, r.newReport(cs, cs.endpoint, reportBroken, err))
 		}
 		r.returnTrial(cs)
 		if err == nil {
--- a/relay/strike.go
+++ b/relay/strike.go
@@ -64,8 +64,19 @@
 	return r.strikes.HasStrikes() && r.strikes.Strikes(c.digest()) >= maxStrikes
 }
 
-// crashReport names a content that ran at an endpoint when its connection broke.
+// reportKind is how an attempt ended that may have crashed its endpoint.
+type reportKind string
+
+const (
+	// reportBroken means that the connection broke.
+	reportBroken reportKind = "broken"
+	// reportComplete means that the answer ended with its connection.
+	reportComplete reportKind = "complete"
+)
+
+// crashReport names a content that ran at an endpoint which may have crashed.
 type crashReport struct {
+	kind     reportKind
 	request  string
 	digest   string
 	endpoint Endpoint
@@ -75,29 +86,25 @@
 	// began is true where the endpoint had sent events of the answer.
 	parts []string
 	began bool
-	// partDigests are the digests of these parts; nil where an answer was generated with
-	// them. trial are those that the call was the trial of.
+	// partDigests are the digests of these parts. trial are those that the call was the
+	// trial of.
 	partDigests []string
 	trial       []string
-	// cause is the error of the call, and at when it was seen.
+	// cause is the error of the call, nil for none, and at when it was seen.
 	cause error
 	at    time.Time
 }
 
-// reportCrash queues a crash report for a call without blocking, with its trial.
-func (r *Relay) reportCrash(cs *callState, cause error) {
-	r.reportCrashAt(cs, cs.endpoint, cause)
+func (r *Relay) newReport(cs *callState, at Endpoint, kind reportKind, cause error) crashReport {
+	return crashReport{
+		kind: kind, request: cs.call.ID, digest: cs.call.digest(), endpoint: at, engine: cs.reservesMemory(),
+		parts: cs.call.Prompt.sharedParts(), began: cs.attemptEvents > 0, partDigests: cs.partDigests(), trial: cs.trial,
+		cause: cause, at: time.Now(),
+	}
 }
 
-// reportCrashAt queues a crash report for a call at an endpoint.
-func (r *Relay) reportCrashAt(cs *callState, at Endpoint, cause error) {
-	c := crashReport{
-		request: cs.call.ID, digest: cs.call.digest(), endpoint: at, engine: cs.reservesMemory(), parts: cs.call.Prompt.sharedParts(),
-		began: cs.attemptEvents > 0, trial: cs.trial, cause: cause, at: time.Now(),
-	}
-	if !cs.sound {
-		c.partDigests = cs.partDigests()
-	}
+// queueReport queues a report without blocking, with the trial of its call.
+func (r *Relay) queueReport(cs *callState, c crashReport) {
 	select {
 	case r.crashReports <- c:
 		cs.trial = nil
@@ -120,7 +127,11 @@
 
 // endReport acts on the verdict on a crash report.
 func (r *Relay) endReport(ctx context.Context, c crashReport, v verdict) {
-	r.logReport(c).WithField("Verdict", v).Info("broken answer judged")
+	r.logReport(c).WithField("Verdict", v).Info("answer judged")
+	if v == verdictSurvived && c.kind == reportComplete {
+		r.markSound(c.partDigests)
+		return
+	}
 	if v == verdictCrashed {
 		r.recordings <- struct{}{}
 		defer func() { <-r.recordings }()
