Report every attempt that may have crashed its endpoint

Callers saw calls with a crashing part go on where their callers left early, or where the engine wrote garbage as it ended: only an end of file or a reset was reported, only to a caller who was still there, and never of a prefill. Each attempt that an endpoint may have run is reported now, also one whose request was still being written (broken pipe, closed connection); the lifetime of the endpoint tells whether it crashed. Where the connection did not break, this is asked only for parts that are not known as sound.

--- a/relay/begun_attempt.go
+++ b/relay/begun_attempt.go
@@ -1,6 +1,9 @@
 package relay
 
-import "context"
+import (
+	"context"
+	"errors"
+)
 
 // begunAttempt is an attempt whose engine has begun to answer, while the attempt that it
 // replaces is still open.
@@ -19,7 +22,8 @@
 	t, err := r.prepareAttempt(ctx, cs, s)
 	var reply *Reply
 	sendContext, cancel := context.WithCancel(callContext)
-	if err == nil {
+	sent := err == nil
+	if sent {
 		keep := context.AfterFunc(ctx, cancel)
 		r.tracker.take(t.Endpoint.key(), r.fleet.Entries)
 		reply, err = r.sendRetry(sendContext, cs, t)
@@ -34,8 +38,8 @@
 	}
 	cancel()
 	r.endAttempt(ctx, cs, s, t, 0, err)
-	if suggestsCrash(err) {
-		r.queueReport(cs, r.newReport(cs, t.Endpoint, reportBroken, err))
+	if sent {
+		r.reportFailed(cs, t.Endpoint, err, errors.Is(ctx.Err(), context.Canceled))
 	}
 	cs.prepared = nil
 	return false
--- a/relay/call_state.go
+++ b/relay/call_state.go
@@ -30,8 +30,10 @@
 	// dialFailures the number of failed dials.
 	sent         int
 	dialFailures int
-	// endpoint is the endpoint of the current or last attempt.
+	// endpoint is the endpoint of the current or last attempt, and exposed is true once it
+	// may have received the call in this attempt.
 	endpoint Endpoint
+	exposed  bool
 	// prepared is memory reserved for the next attempt, or nil, and begun is that attempt
 	// where its endpoint has begun it. budgetCharged is true where the next attempt is
 	// already charged to the retry budget.
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -75,6 +75,7 @@
 	r.endPrefillAttempt(ctx, cs, err, repeated)
 	r.tracker.end(e, resultOf(ctx, err), time.Since(start), weight)
 	if err != nil {
+		r.reportFailed(cs, t.Endpoint, err, errors.Is(ctx.Err(), context.Canceled))
 		r.logger(cs, err).WithField("Endpoint", e.GetName()).Info("prefill failed")
 		cs.record.AddFailure(uint32(cs.sent+1), "prefill at "+e.GetName()+": "+err.Error())
 		return Handle{}, err
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -200,8 +200,8 @@
 	for {
 		err := r.attempt(ctx, cs)
 		callerGone := errors.Is(ctx.Err(), context.Canceled)
-		if err != nil && !callerGone && suggestsCrash(err) {
-			r.queueReport(cs, r.newReport(cs, cs.endpoint, reportBroken, err))
+		if err != nil && cs.exposed {
+			r.reportFailed(cs, cs.endpoint, err, callerGone)
 		}
 		r.returnTrial(cs)
 		if err == nil {
@@ -340,6 +340,7 @@
 // attempt sends a call to one endpoint and forwards the answer. A nil error
 // means that the caller has its final answer.
 func (r *Relay) attempt(ctx context.Context, cs *callState) error {
+	cs.exposed = false
 	if err := r.checkKey(cs); err != nil {
 		return err
 	}
@@ -451,6 +452,7 @@
 // reply returns the head of the answer to an attempt, which may have begun before.
 func (r *Relay) reply(ctx context.Context, cs *callState, t Attempt, begun *begunAttempt) (*Reply, error) {
 	if begun != nil {
+		cs.exposed = true
 		context.AfterFunc(ctx, begun.cancel)
 		return begun.reply, nil
 	}
@@ -465,6 +467,7 @@
 	if errors.As(err, &dialErr) {
 		return nil, err
 	}
+	cs.exposed = true
 	if cs.sent++; cs.sent > 1 {
 		r.metrics.extraSent(cs.pool.Name, causeSentAgain)
 	}
--- a/relay/strike.go
+++ b/relay/strike.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"strings"
 	"syscall"
 	"time"
@@ -13,6 +14,7 @@
 	"ebonyreel/document"
 	"ebonyreel/logs"
 	controlv1 "ebonyreel/proto/control/v1"
+	"ebonyreel/transport"
 )
 
 const (
@@ -46,10 +48,11 @@
 	ChangePartStrikes(ctx context.Context, r *controlv1.AddStrikesRequest) ([]*controlv1.Strikes, error)
 }
 
-// suggestsCrash reports whether an error shows that an endpoint may have crashed
+// suggestsCrash reports whether an error shows that the connection to an endpoint broke
 // while it ran a call.
 func suggestsCrash(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
+		errors.Is(err, syscall.EPIPE) || errors.Is(err, net.ErrClosed)
 }
 
 // digest identifies the content of a call. It leaves out the ID, as callers send
@@ -72,8 +75,30 @@
 	reportBroken reportKind = "broken"
 	// reportComplete means that the answer ended with its connection.
 	reportComplete reportKind = "complete"
+	// reportLeft means that the caller left.
+	reportLeft reportKind = "left"
+	// reportUnknown means that the attempt failed in another way that does not show
+	// whether the endpoint goes on.
+	reportUnknown reportKind = "unknown"
 )
 
+// failedKind returns how an attempt that was sent has failed, or an empty kind where the
+// endpoint has not run the call, or went on after it.
+func failedKind(err error, callerGone bool) reportKind {
+	var dialErr *transport.DialError
+	var notRun *NotRunError
+	var status *StatusError
+	switch {
+	case errors.As(err, &dialErr), errors.As(err, &notRun), errors.As(err, &status):
+		return ""
+	case callerGone:
+		return reportLeft
+	case suggestsCrash(err):
+		return reportBroken
+	}
+	return reportUnknown
+}
+
 // crashReport names a content that ran at an endpoint which may have crashed.
 type crashReport struct {
 	kind     reportKind
@@ -103,6 +128,17 @@
 	}
 }
 
+// reportFailed queues a report of an attempt that was sent and failed, where it may have
+// crashed the endpoint. One whose connection did not break counts only for parts that are
+// not known as sound.
+func (r *Relay) reportFailed(cs *callState, at Endpoint, err error, callerGone bool) {
+	switch kind := failedKind(err, callerGone); {
+	case kind == "":
+	case kind == reportBroken, cs.trial != nil, len(r.unproven(cs)) > 0:
+		r.queueReport(cs, r.newReport(cs, at, kind, err))
+	}
+}
+
 // queueReport queues a report without blocking, with the trial of its call.
 func (r *Relay) queueReport(cs *callState, c crashReport) {
 	select {
