Count connections that break under unproven parts of prompts

Callers saw calls with a crashing part go on for ever where only the engine's connections broke and its front went on under the same name: such a break counted for nothing, and a trial was handed back as if it had not been. A broken connection counts against the parts that are not known as sound now, apart from crashes: five of them, or three crashes, make a part suspected. A trial that proved nothing has failed, unless its caller left and the endpoint went on.

--- a/relay/crashing_part_test.go
+++ b/relay/crashing_part_test.go
@@ -63,6 +63,8 @@
 	// crashes and reached are when an engine crashed, and when a crashing call reached
 	// an engine, by the part.
 	crashes, reached map[string][]time.Time
+	// stays is true where engines go on, and only the connections of crashing calls break.
+	stays bool
 }
 
 // crashingEngine is one engine. It gets another name with each start.
@@ -150,8 +152,11 @@
 			return
 		default:
 		}
-		close(e.crashed)
 		c.crashes[part] = append(c.crashes[part], time.Now())
+		if c.stays {
+			return
+		}
+		close(e.crashed)
 		time.AfterFunc(crashDowntime, func() {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -453,7 +458,7 @@
 func TestCrashingPart(t *testing.T) {
 	datadriven.RunTest(t, "testdata/crashing/parts", func(t *testing.T, d *datadriven.TestData) string {
 		var crashing, sound []string
-		soundFrom, every, silent := crashingFrom, 150*time.Millisecond, time.Duration(0)
+		soundFrom, every, silent, stays := crashingFrom, 150*time.Millisecond, time.Duration(0), false
 		for _, a := range d.CmdArgs {
 			switch a.Key {
 			case "crashing":
@@ -466,11 +471,13 @@
 				every = parseDuration(t, a.Vals[0])
 			case "silent":
 				silent = parseDuration(t, a.Vals[0])
+			case "stays":
+				stays = true
 			}
 		}
 		tooMany, begin := false, true
 		for seed := range crashSeeds {
-			late, share := playCrashDay(t, uint64(seed), crashing, sound, soundFrom, every, silent)
+			late, share := playCrashDay(t, uint64(seed), crashing, sound, soundFrom, every, silent, stays)
 			tooMany, begin = tooMany || late > callsAllowed, begin && share >= 0.5
 		}
 		return fmt.Sprintf("calls beyond the bound: %t\nsound calls begin: %t\n", tooMany, begin)
@@ -479,7 +486,7 @@
 
 // playCrashDay plays one series of calls and returns the number of crashing calls beyond
 // the bound and the share of sound calls that begin.
-func playCrashDay(t *testing.T, seed uint64, crashing, sound []string, soundFrom, every, silent time.Duration) (late int, share float64) {
+func playCrashDay(t *testing.T, seed uint64, crashing, sound []string, soundFrom, every, silent time.Duration, stays bool) (late int, share float64) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -488,6 +495,7 @@
 		day := &crashDay{
 			engines: newCrashingEngines(readDocument(t)), strikes: &sharedStrikes{state: state.New(1000)}, random: rand.New(rand.NewPCG(seed, 2)),
 		}
+		day.engines.stays = stays
 		if silent > 0 {
 			day.strikes.silentFrom = time.Now().Add(crashingFrom)
 			day.strikes.answersFrom = day.strikes.silentFrom.Add(silent)
--- a/relay/part.go
+++ b/relay/part.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// partCrashLimit is the number of crashes from which on a part is suspected.
+	// partCrashLimit is the number of crashes from which on a part is suspected, and
+	// partBreakLimit the same with connections that broke while their endpoint went on.
 	partCrashLimit = 3
+	partBreakLimit = 5
 	// maxCheckedParts bounds the parts of one prompt that are checked.
 	maxCheckedParts = 16
 	// soundMemory is how long this entry remembers that a part is sound.
@@ -134,11 +136,24 @@
 	return r.strikes.PartStrikes(digest).GetSound() || r.parts.isSound(digest, time.Now())
 }
 
-// companions returns the parts that, in each crash of a part, were in a call with it,
-// and that may be what crashes endpoints in its place.
-func (r *Relay) companions(s *controlv1.Strikes) []string {
+// evidence returns the crashes for which a part is suspected; none where they are too few.
+// Connections that broke count only where the crashes alone are too few.
+func evidence(s *controlv1.Strikes) []*controlv1.PartCrash {
+	crashes := slices.DeleteFunc(slices.Clone(s.GetCrashes()), (*controlv1.PartCrash).GetUnverified)
+	switch {
+	case len(crashes) >= partCrashLimit:
+		return crashes
+	case len(s.GetCrashes()) >= partBreakLimit:
+		return s.GetCrashes()
+	}
+	return nil
+}
+
+// companions returns the parts that, in each of some crashes of a part, were in a call with
+// it, and that may be what crashes endpoints in its place.
+func (r *Relay) companions(crashes []*controlv1.PartCrash) []string {
 	var out []string
-	for i, c := range s.GetCrashes() {
+	for i, c := range crashes {
 		if i == 0 {
 			out = slices.Clone(c.GetOtherParts())
 		}
@@ -167,8 +182,8 @@
 			r.exonerate(d)
 		default:
 			struck = append(struck, d)
-			if s.GetCount() >= partCrashLimit {
-				suspects[d] = r.companions(s)
+			if crashes := evidence(s); crashes != nil {
+				suspects[d] = r.companions(crashes)
 				failedTrials = max(failedTrials, s.GetFailedTrials())
 			}
 		}
@@ -290,12 +305,13 @@
 	}()
 }
 
-// addPartStrikes counts a crash against the parts of a call, until control has taken it.
-func (r *Relay) addPartStrikes(ctx context.Context, c crashReport) {
+// addPartStrikes counts a crash, or a connection that broke, against the parts of a call,
+// until control has taken it.
+func (r *Relay) addPartStrikes(ctx context.Context, c crashReport, verified bool) {
 	suspects := slices.DeleteFunc(slices.Clone(c.partDigests), r.isSound)
 	if len(suspects) > 0 {
 		q := &controlv1.AddStrikesRequest{
-			Change: controlv1.StrikeChange_STRIKE_CHANGE_ADD_PARTS, ContentDigests: suspects, Endpoint: fmt.Sprintf("%s/%d", c.endpoint.Name, c.endpoint.Lifetime),
+			Change: controlv1.StrikeChange_STRIKE_CHANGE_ADD_PARTS, ContentDigests: suspects, Endpoint: c.source(verified), Unverified: !verified,
 		}
 		var err error
 		for start := time.Now(); time.Since(start) < maxReportTime; {
@@ -303,15 +319,22 @@
 				break
 			}
 		}
-		r.log.WithError(err).WithFields(logrus.Fields{
-			"Request": logs.Truncate(c.request), "Endpoint": c.endpoint.Name, "Parts": suspects, "PromptParts": logs.TruncateList(c.parts),
-		}).Warn("crash counted against parts of a prompt")
+		r.logReport(c).WithError(err).WithFields(logrus.Fields{"Parts": suspects, "Verified": verified}).Warn("crash counted against parts of a prompt")
 	}
 	if c.trial != nil {
 		r.endTrial(ctx, controlv1.StrikeChange_STRIKE_CHANGE_FAIL, c.request, c.trial)
 	}
 }
 
+// source names what a crash counts for once: the start of an endpoint, or one moment of it
+// where only connections broke.
+func (c crashReport) source(verified bool) string {
+	if verified {
+		return fmt.Sprintf("%s/%d", c.endpoint.Name, c.endpoint.Lifetime)
+	}
+	return fmt.Sprintf("%s/%d@%d", c.endpoint.Name, c.endpoint.Lifetime, c.at.Unix())
+}
+
 func (r *Relay) changeParts(ctx context.Context, q *controlv1.AddStrikesRequest) ([]*controlv1.Strikes, error) {
 	ctx, cancel := context.WithTimeout(ctx, strikeTimeout)
 	defer cancel()
--- a/relay/strike.go
+++ b/relay/strike.go
@@ -164,19 +164,22 @@
 // endReport acts on the verdict on a crash report.
 func (r *Relay) endReport(ctx context.Context, c crashReport, v verdict) {
 	r.logReport(c).WithField("Verdict", v).Info("answer judged")
-	if v == verdictSurvived && c.kind == reportComplete {
+	switch {
+	case v == verdictSurvived && c.kind == reportComplete:
 		r.markSound(c.partDigests)
-		return
-	}
-	if v == verdictCrashed {
+	case v == verdictCrashed, c.kind == reportBroken:
 		r.recordings <- struct{}{}
 		defer func() { <-r.recordings }()
-		r.addPartStrikes(ctx, c)
-		r.addStrike(ctx, c)
-		return
-	}
-	if c.trial != nil {
+		r.addPartStrikes(ctx, c, v == verdictCrashed)
+		if v == verdictCrashed {
+			r.addStrike(ctx, c)
+		}
+	case c.trial == nil:
+	case v == verdictSurvived && c.kind == reportLeft:
 		r.endTrial(ctx, controlv1.StrikeChange_STRIKE_CHANGE_RETURN, c.request, c.trial)
+	default:
+		// A trial that proved nothing has failed, or there would be no end of them.
+		r.endTrial(ctx, controlv1.StrikeChange_STRIKE_CHANGE_FAIL, c.request, c.trial)
 	}
 }
 
--- a/state/part.go
+++ b/state/part.go
@@ -39,17 +39,13 @@
 		next = copyPartStrikes(old)
 	}
 	next.TrialAt = latest(next.GetTrialAt(), now.Add(firstTrialDelay))
-	crash := &controlv1.PartCrash{Endpoint: r.GetEndpoint()}
+	crash := &controlv1.PartCrash{Endpoint: r.GetEndpoint(), Unverified: r.GetUnverified()}
 	i := slices.IndexFunc(next.Crashes, func(c *controlv1.PartCrash) bool { return c.GetEndpoint() == r.GetEndpoint() })
-	switch {
-	case i >= 0:
+	if i >= 0 {
 		crash.OtherParts = slices.Clone(next.Crashes[i].GetOtherParts())
 		next.Crashes[i] = crash
-	case len(next.Crashes) >= maxPartCrashes:
+	} else if !addCrash(next, crash) {
 		return next
-	default:
-		next.Crashes = append(next.Crashes, crash)
-		next.Count++
 	}
 	for _, d := range r.GetContentDigests() {
 		if d != digest && !slices.Contains(crash.OtherParts, d) && len(crash.OtherParts) < maxOtherParts {
@@ -59,6 +55,22 @@
 	return next
 }
 
+// addCrash adds a crash, in place of an unverified one where there are too many, and reports
+// whether it did.
+func addCrash(s *controlv1.Strikes, crash *controlv1.PartCrash) bool {
+	if len(s.Crashes) < maxPartCrashes {
+		s.Crashes = append(s.Crashes, crash)
+		s.Count++
+		return true
+	}
+	i := slices.IndexFunc(s.Crashes, (*controlv1.PartCrash).GetUnverified)
+	if crash.GetUnverified() || i < 0 {
+		return false
+	}
+	s.Crashes = append(slices.Delete(s.Crashes, i, i+1), crash)
+	return true
+}
+
 // copyPartStrikes returns a copy whose list of crashes may be changed.
 func copyPartStrikes(s *controlv1.Strikes) *controlv1.Strikes {
 	return &controlv1.Strikes{
--- a/state/part_test.go
+++ b/state/part_test.go
@@ -28,6 +28,7 @@
 			}
 			d.MaybeScanArgs(t, "owner", &r.Owner)
 			d.MaybeScanArgs(t, "endpoint", &r.Endpoint)
+			r.Unverified = d.HasArg("unverified")
 			for _, a := range d.CmdArgs {
 				if a.Key == "parts" {
 					r.ContentDigests = a.Vals
@@ -68,6 +69,9 @@
 	}
 	for _, c := range s.GetCrashes() {
 		out += fmt.Sprintf(", %s with %v", c.GetEndpoint(), c.GetOtherParts())
+		if c.GetUnverified() {
+			out += " unverified"
+		}
 	}
 	return out + "\n"
 }
