Count a trial whose entry ended as failed

A trial that did not end within 20 s made room for the next one without counting, so that entries which are killed with their reports allow trials without end. It counts as failed once the next one begins. The script trials expected the fault, that a trial left by its owner is forgotten: it expects the failure now, and a new part of it shows that the next trial still begins. Both fail before.

--- a/state/part.go
+++ b/state/part.go
@@ -88,8 +88,25 @@
 
 // mayTry reports whether a trial of a part may begin.
 func mayTry(now time.Time, s *controlv1.Strikes) bool {
-	free := s.GetIsolatedRun() == "" || olderThan(s.GetUpdatedAt().AsTime(), now, trialTimeout)
-	return free && !s.GetSound() && s.GetFailedTrials() < maxFailedTrials && !now.Before(s.GetTrialAt().AsTime())
+	failed := s.GetFailedTrials()
+	if s.GetIsolatedRun() != "" {
+		if !olderThan(s.GetUpdatedAt().AsTime(), now, trialTimeout) {
+			return false
+		}
+		failed++
+	}
+	return !s.GetSound() && failed < maxFailedTrials && !now.Before(s.GetTrialAt().AsTime())
+}
+
+// beginTrial returns the strikes of a part with a trial of a call. One before it that has
+// not ended has failed, as its entry may have ended after it crashed an endpoint.
+func beginTrial(now time.Time, old *controlv1.Strikes, owner string) *controlv1.Strikes {
+	next := copyPartStrikes(old)
+	if next.GetIsolatedRun() != "" {
+		next = failTrial(now, next)
+	}
+	next.IsolatedRun = owner
+	return next
 }
 
 // mayTryAll reports whether a trial of all parts of a request may begin.
--- a/state/strike.go
+++ b/state/strike.go
@@ -74,7 +74,7 @@
 	case controlv1.StrikeChange_STRIKE_CHANGE_ADD_PARTS:
 		return addPartCrash(now, old, digest, r)
 	case controlv1.StrikeChange_STRIKE_CHANGE_TRY:
-		next.IsolatedRun = r.GetOwner()
+		return beginTrial(now, old, r.GetOwner())
 	case controlv1.StrikeChange_STRIKE_CHANGE_FAIL:
 		if !ownsRun || old == nil {
 			return old
