Don't take a part of an answer for the whole while its request is written

The write of the request takes the reset, so that the read after it sees a plain end. An answer that ends with its connection is whole now only if its request was written whole; else it is cut off like any broken one. The check is in the transport that calls on the platform, to plain services and to model engines share.

--- a/answers/transport.go
+++ b/answers/transport.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 const (
@@ -20,6 +22,8 @@
 	// readBufferBytes is the size of the system's buffer for bytes of an answer that
 	// have arrived and were not read. The default grows to megabytes.
 	readBufferBytes = 32 << 10
+	// writeEndTimeout bounds the wait for the end of a request's write after its answer.
+	writeEndTimeout = time.Second
 )
 
 // Transport is an http.RoundTripper for HTTP/1.1 that accounts for the heads of answers,
@@ -50,7 +54,9 @@
 }
 
 // RoundTrip sends a request. The error wraps a *TooLongError where the head of the answer
-// was given up.
+// was given up. An answer that ends with its connection ends with a *RequestUnsentError
+// where its request was not written whole: a reset that the write met makes what was
+// received look like the whole.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	// net/http may try a second connection where a kept one turns out to be closed.
 	var used *conn
@@ -61,8 +67,10 @@
 			head.Close()
 		}
 	}
-	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+	var written atomic.Pointer[requestWrite]
+	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { written.Load().end(i) }, GotConn: func(i httptrace.GotConnInfo) {
 		end()
+		written.Store(&requestWrite{done: make(chan struct{})})
 		if c, ok := i.Conn.(*conn); ok {
 			used, head = c, c.beginHead(t.budget)
 		}
@@ -73,10 +81,65 @@
 		return res, err
 	}
 	used.endHead()
-	res.Body = &body{ReadCloser: res.Body, head: head}
+	b := &body{ReadCloser: res.Body, head: head}
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		b.request = written.Load()
+	}
+	res.Body = b
 	return res, nil
 }
 
+// requestWrite is the writing of a request to one connection.
+type requestWrite struct {
+	once sync.Once
+	// done is closed at the end of the write. err may be read then.
+	done chan struct{}
+	err  error
+}
+
+func (w *requestWrite) end(i httptrace.WroteRequestInfo) {
+	w.once.Do(func() {
+		w.err = i.Err
+		close(w.done)
+	})
+}
+
+// wait returns the error of the write. An answer that has ended ends the write of its
+// request, so that the wait is short.
+func (w *requestWrite) wait() error {
+	t := time.NewTimer(writeEndTimeout)
+	defer t.Stop()
+	select {
+	case <-w.done:
+	case <-t.C:
+		return &RequestUnsentError{}
+	}
+	if w.err != nil {
+		return &RequestUnsentError{Cause: w.err}
+	}
+	return nil
+}
+
+// RequestUnsentError reports an answer whose request was not written whole, so that its end
+// may be that of a broken connection.
+type RequestUnsentError struct {
+	// Cause is the error of the write, nil where it has not ended.
+	Cause error
+}
+
+// Error returns a message with the cause.
+func (e *RequestUnsentError) Error() string {
+	if e.Cause == nil {
+		return "answer ended before its request was written"
+	}
+	return "answer ended and its request was not written: " + e.Cause.Error()
+}
+
+// Unwrap returns io.ErrUnexpectedEOF, as for any answer that is cut off.
+func (e *RequestUnsentError) Unwrap() error {
+	return io.ErrUnexpectedEOF
+}
+
 // conn is a connection that accounts for what is read while it waits for a head.
 type conn struct {
 	net.Conn
@@ -122,11 +185,20 @@
 type body struct {
 	io.ReadCloser
 	head *Answer
+	// request is the writing of the request of an answer that ends with its connection, or
+	// nil.
+	request *requestWrite
 }
 
-// Read reads from the body. The error is a *TooLongError where the head was given up.
+// Read reads from the body. The error is a *TooLongError where the head was given up, and
+// that of RoundTrip at the end.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && b.request != nil {
+		if unsent := b.request.wait(); unsent != nil {
+			err = unsent
+		}
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		b.head.complete()
--- a/answers/transport_test.go
+++ b/answers/transport_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/datadriven"
+
 	"ebonyreel/standin/faulty"
 )
 
@@ -98,3 +102,49 @@
 		_ = res.Body.Close()
 	}
 }
+
+// TestUnreadRequest guards against a part of an answer that passes for the whole one. The
+// endpoint answers without a length while the request is still being written, and resets
+// the connection; the failed write takes the reset, so that the answer seems to end.
+func TestUnreadRequest(t *testing.T) {
+	datadriven.RunTest(t, "testdata/unread_requests", func(t *testing.T, d *datadriven.TestData) string {
+		const calls = 30
+		var bytes, pause int
+		d.ScanArgs(t, "bytes", &bytes)
+		d.MaybeScanArgs(t, "pause", &pause)
+		read := d.HasArg("read")
+		address := faulty.ListenRequests(t, func(c net.Conn, r *http.Request) {
+			if read {
+				_, _ = io.Copy(io.Discard, r.Body)
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\na part of the answer")
+			time.Sleep(time.Duration(pause) * time.Millisecond)
+			if !read {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		whole := 0
+		for range calls {
+			if callUnread(t, address, bytes) == nil {
+				whole++
+			}
+		}
+		return fmt.Sprintf("%d of %d answers are whole\n", whole, calls)
+	})
+}
+
+// callUnread sends a request with some bytes and reads the answer.
+func callUnread(t *testing.T, to netip.AddrPort, bytes int) error {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+to.String(), strings.NewReader(strings.Repeat("x", bytes)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := newTestTransport(&Budget{}).RoundTrip(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	_, err = io.Copy(io.Discard, res.Body)
+	return err
+}
