Refuse answers whose status is none of HTTP

Callers got an answer with status 000 as an answer, and its status went on to the server, which panics below 100 (MIXED, seen on other systems). net/http takes any three digits, and 101 as the end of an answer. An answer must have a status from 200 to 599 now; any other is bytes that are no answer, for all clients of endpoints.

--- a/answers/transport.go
+++ b/answers/transport.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -24,6 +25,10 @@
 	readBufferBytes = 32 << 10
 	// writeEndTimeout bounds the wait for the end of a request's write after its answer.
 	writeEndTimeout = time.Second
+	// minFinalStatus and maxFinalStatus are the first and the last status of an answer
+	// (RFC 9110, section 15).
+	minFinalStatus = 200
+	maxFinalStatus = 599
 )
 
 // Transport is an http.RoundTripper for HTTP/1.1 that accounts for the heads of answers,
@@ -54,7 +59,7 @@
 }
 
 // RoundTrip sends a request. The error wraps a *TooLongError where the head of the answer
-// was given up. An answer that ends with its connection ends with a *RequestUnsentError
+// was given up, and is a *StatusError for an answer whose status is none. An answer that ends with its connection ends with a *RequestUnsentError
 // where its request was not written whole: a reset that the write met makes what was
 // received look like the whole.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -76,6 +81,10 @@
 		}
 	}}
 	res, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err == nil && !isFinal(res.StatusCode) {
+		_ = res.Body.Close()
+		res, err = nil, &StatusError{Status: res.StatusCode}
+	}
 	if err != nil || head == nil {
 		end()
 		return res, err
@@ -89,6 +98,22 @@
 	return res, nil
 }
 
+// isFinal reports whether a status is one with which HTTP answers a request. Switching
+// protocols answers none of ours.
+func isFinal(status int) bool {
+	return status >= minFinalStatus && status <= maxFinalStatus
+}
+
+// StatusError reports an answer whose status is none of HTTP.
+type StatusError struct {
+	Status int
+}
+
+// Error returns a message with the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("answer has status %03d", e.Status)
+}
+
 // requestWrite is the writing of a request to one connection.
 type requestWrite struct {
 	once sync.Once
