Play ways to end at random, with kills of an entry and the leader

TestPlatformCrashingPartSeeds draws one to three ways to end, the times, the callers who leave and two kills of the last entry and the leader of the control hosts from a seed.

--- a/proof/platform_crash_test.go
+++ b/proof/platform_crash_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -22,12 +25,17 @@
 	endsLength = 20 * time.Second
 	// maxEnds bounds the cases that run at once.
 	maxEnds = 4
+	// endInPrefill is an end by a prefill, and endUnframed one after an event of an answer
+	// that ends with its connection.
+	endInPrefill = "prefill"
+	endUnframed  = "event-unframed"
 )
 
 // engineEnd serves a call with the crashing part, and ends the engine.
 type engineEnd func(e *platformEngine, w http.ResponseWriter, r *http.Request)
 
-// engineEnds are the ways in which an engine ends by a call.
+// engineEnds are the ways in which an engine ends by a call, besides endInPrefill and
+// endUnframed.
 var engineEnds = map[string]engineEnd{
 	"restarted": func(e *platformEngine, _ http.ResponseWriter, r *http.Request) {
 		if clock.Sleep(r.Context(), platformCrashDelay) && e.endsNow() {
@@ -69,6 +77,16 @@
 	},
 }
 
+// drawEnd draws the way in which an engine ends by a call.
+func (p *platformEngines) drawEnd() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.ends) == 0 {
+		return ""
+	}
+	return p.ends[p.random.IntN(len(p.ends))]
+}
+
 // track keeps the connections that are open.
 func (e *platformEngine) track(c net.Conn, s http.ConnState) {
 	e.mu.Lock()
@@ -145,40 +163,92 @@
 		running <- struct{}{}
 		defer func() { <-running }()
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			var name string
-			leaves, every := endsLength, 200*time.Millisecond
+			p := endsPlay{every: 200 * time.Millisecond, random: rand.New(rand.NewPCG(1, 2))}
 			if d.HasArg("end") {
-				d.ScanArgs(t, "end", &name)
+				p.ends = make([]string, 1)
+				d.ScanArgs(t, "end", &p.ends[0])
+			}
+			if d.HasArg("leaves") {
+				p.leaving = 1
+				p.leaves = scanDuration(t, d, "leaves")
 			}
-			scanDuration(t, d, "leaves", &leaves)
-			scanDuration(t, d, "every", &every)
-			late, begun, all := playEnds(t, name, leaves, every)
+			if d.HasArg("every") {
+				p.every = scanDuration(t, d, "every")
+			}
+			late, begun, all := p.run(t)
 			return fmt.Sprintf("calls beyond the bound: %t\nsound calls begin: %t\n", late > lateCalls, all > 0 && 2*begun >= all)
 		})
 	})
 }
 
-func scanDuration(t *testing.T, d *datadriven.TestData, key string, out *time.Duration) {
-	t.Helper()
-	if !d.HasArg(key) {
-		return
+// TestPlatformCrashingPartSeeds guards against the same where the ways to end, the times
+// and the callers who leave vary, and where an entry and the leader of the control hosts are
+// killed again and again.
+func TestPlatformCrashingPartSeeds(t *testing.T) {
+	running := make(chan struct{}, maxEnds)
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			t.Parallel()
+			running <- struct{}{}
+			defer func() { <-running }()
+			random := rand.New(rand.NewPCG(seed, 58))
+			p := endsPlay{
+				every: 100*time.Millisecond + time.Duration(random.IntN(900))*time.Millisecond, leaving: random.Float64() / 2,
+				leaves: 100*time.Millisecond + time.Duration(random.IntN(300))*time.Millisecond, random: random,
+			}
+			all := append(slices.Sorted(maps.Keys(engineEnds)), endInPrefill, endUnframed, "")
+			for range 1 + random.IntN(3) {
+				p.ends = append(p.ends, all[random.IntN(len(all))])
+			}
+			for range 2 {
+				p.kills = append(p.kills, platformCrashFrom+time.Duration(random.Float64()*float64(endsLength/2)))
+			}
+			slices.Sort(p.kills)
+			t.Logf("ends %q every %s, %.2f leave after %s, kills at %s", p.ends, p.every, p.leaving, p.leaves, p.kills)
+			late, begun, sound := p.run(t)
+			if late > lateCalls || 2*begun < sound {
+				t.Errorf("%d calls beyond the bound, %d allowed; %d of %d sound calls begin", late, lateCalls, begun, sound)
+			}
+		})
 	}
+}
+
+func scanDuration(t *testing.T, d *datadriven.TestData, key string) time.Duration {
+	t.Helper()
 	var s string
 	d.ScanArgs(t, key, &s)
+	return parseDuration(t, s)
+}
+
+func parseDuration(t *testing.T, s string) time.Duration {
+	t.Helper()
 	v, err := time.ParseDuration(s)
 	if err != nil {
 		t.Fatal(err)
 	}
-	*out = v
+	return v
+}
+
+// endsPlay is a series of sound calls, and of calls with the crashing part.
+type endsPlay struct {
+	// ends are the ways in which engines end.
+	ends []string
+	// every is the time between two calls with the crashing part. The share leaving of
+	// their callers leave after a time.
+	every, leaves time.Duration
+	leaving       float64
+	// kills are when the last entry and the leader of the control hosts are killed, in
+	// order. They start again a second later.
+	kills  []time.Duration
+	random *rand.Rand
 }
 
-// playEnds makes sound calls, and calls with the crashing part whose callers leave after a
-// time, to engines that end in one way. It returns what countPartCrashes does.
-func playEnds(t *testing.T, end string, leaves, every time.Duration) (late, begun, all int) {
+// run makes the calls, and returns what countPartCrashes does.
+func (p *endsPlay) run(t *testing.T) (late, begun, all int) {
 	t.Helper()
-	_, _, engines, entries := startPlatform(t, "v1")
+	c, h, engines, entries := startPlatform(t, "v1")
 	engines.mu.Lock()
-	engines.end, engines.endsInPrefill, engines.endsUnframed = engineEnds[end], end == "prefill", end == "event-unframed"
+	engines.ends, engines.random = p.ends, rand.New(rand.NewPCG(p.random.Uint64(), 1))
 	engines.mu.Unlock()
 	start := time.Now()
 	var mu sync.Mutex
@@ -193,18 +263,40 @@
 			}
 		})
 	}
+	// The last entry is killed, so that its callers are not counted.
 	offer(0, 150*time.Millisecond, func(n int) {
 		sent := time.Now()
-		ok, _ := platformCall(t.Context(), entries[n%len(entries)], fmt.Sprint("sound-", n), "first")
+		ok, _ := platformCall(t.Context(), entries[n%(len(entries)-1)], fmt.Sprint("sound-", n), "first")
 		mu.Lock()
 		defer mu.Unlock()
 		sound = append(sound, soundCall{sent: sent, begun: ok})
 	})
-	offer(platformCrashFrom, every, func(n int) {
-		ctx, cancel := context.WithTimeout(t.Context(), leaves)
+	offer(platformCrashFrom, p.every, func(n int) {
+		timeout := endsLength
+		mu.Lock()
+		if p.random.Float64() < p.leaving {
+			timeout = p.leaves
+		}
+		mu.Unlock()
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
 		defer cancel()
 		platformCall(ctx, entries[n%len(entries)], fmt.Sprint("crashing-", n), "first", crashingPartID)
 	})
+	done.Go(func() {
+		for _, at := range p.kills {
+			if !clock.Sleep(t.Context(), time.Until(start.Add(at))) {
+				return
+			}
+			killed := []*process{h.processes[h.leader()], entries[len(entries)-1]}
+			for _, k := range killed {
+				k.kill()
+			}
+			clock.Sleep(t.Context(), time.Second)
+			for _, k := range killed {
+				c.launch(k)
+			}
+		}
+	})
 	done.Wait()
 	return countPartCrashes(t, engines, sound)
 }
--- a/proof/platform_engine_test.go
+++ b/proof/platform_engine_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -50,13 +51,10 @@
 	// crashes and reached are when an engine crashed, and when a call with the crashing
 	// part reached an engine.
 	crashes, reached []time.Time
-	// end serves a call with the crashing part, and ends its engine. It must be set before
-	// the first call; nil breaks the answer before its first event.
-	end engineEnd
-	// endsInPrefill is true where an engine ends by a prefill with the crashing part, and
-	// endsUnframed where it does so after an event of an answer that ends with its
-	// connection.
-	endsInPrefill, endsUnframed bool
+	// ends are the ways in which engines end by the crashing part, of which random draws
+	// one for each call; none stands for a break before the first event.
+	ends   []string
+	random *rand.Rand
 }
 
 // announcedEndpoint is what one start of an endpoint announces of itself.
@@ -270,7 +268,7 @@
 	}
 	if r.Header.Get("X-Stage") == "prefill" {
 		clock.Sleep(r.Context(), platformGap/2)
-		if bad && e.engines.endsInPrefill {
+		if bad && e.engines.drawEnd() == endInPrefill {
 			e.crash()
 			panic(http.ErrAbortHandler)
 		}
@@ -280,7 +278,8 @@
 	w.Header().Set("X-Server-Seal", "seal")
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w).Flush
-	if bad && e.engines.endsUnframed {
+	end := e.engines.drawEnd()
+	if bad && end == endUnframed {
 		e.endUnframed(w, r)
 		panic(http.ErrAbortHandler)
 	}
@@ -288,8 +287,8 @@
 		return
 	}
 	if bad {
-		if e.engines.end != nil {
-			e.engines.end(e, w, r)
+		if serve := engineEnds[end]; serve != nil {
+			serve(e, w, r)
 		} else if clock.Sleep(r.Context(), platformCrashDelay) {
 			e.crash()
 		}
