Keep nothing of a call's headers in crash reports

A report waits for seconds now, up to 1,024 of them, and kept the parts as they lie in the header, 16 KB each, and the whole error. Both are cut and copied. The digests of the parts are made once when a call arrives, as a retry that is prepared beside the attempt reads them too. A trial whose report is dropped expires, and counts as failed.

--- a/relay/call_state.go
+++ b/relay/call_state.go
@@ -62,8 +62,8 @@
 	eventCount int
 	// attemptEvents is the number of events received in the current or last attempt.
 	attemptEvents int
-	// parts are the digests of the shared parts of the prompt, and trial are those that
-	// the call is the trial of.
+	// parts are the digests of the shared parts of the prompt, which do not change, and
+	// trial are those that the call is the trial of.
 	parts []string
 	trial []string
 	// firstSent is when the caller was sent the answer or its first event, lastSent
--- a/relay/crashing_part_test.go
+++ b/relay/crashing_part_test.go
@@ -528,12 +528,13 @@
 		for _, p := range append(parts, "own") {
 			c.call.Prompt.Parts = append(c.call.Prompt.Parts, Part{ID: p})
 		}
+		c.parts = c.call.Prompt.partDigests()
 		return c
 	}
-	first := callOf("first").partDigests()[0]
+	first := callOf("first").parts[0]
 	strikes.strikes[first] = &controlv1.Strikes{Count: 3}
 	for i := range 3 {
-		bad := callOf(fmt.Sprint("bad", i)).partDigests()[0]
+		bad := callOf(fmt.Sprint("bad", i)).parts[0]
 		crash := &controlv1.PartCrash{Endpoint: fmt.Sprint("e", i), OtherParts: []string{bad}}
 		strikes.strikes[first].Crashes = append(strikes.strikes[first].Crashes, crash)
 		strikes.strikes[bad] = &controlv1.Strikes{Count: 1, Crashes: []*controlv1.PartCrash{{Endpoint: crash.Endpoint, OtherParts: []string{first}}}}
--- a/relay/lifetime.go
+++ b/relay/lifetime.go
@@ -186,13 +186,9 @@
 
 // logReport returns a logger with the fields of a report.
 func (r *Relay) logReport(c crashReport) *logrus.Entry {
-	cause := ""
-	if c.cause != nil {
-		cause = logs.Truncate(c.cause.Error())
-	}
 	return r.log.WithFields(logrus.Fields{
 		"Ended": c.kind, "Request": logs.Truncate(c.request), "Content": logs.Truncate(c.digest), "Endpoint": c.endpoint.Name, "Lifetime": c.endpoint.Lifetime,
-		"Began": c.began, "PromptParts": logs.TruncateList(c.parts), "Trial": c.trial != nil,
-		"AgeMilliseconds": time.Since(c.at).Milliseconds(), "Cause": cause,
+		"Began": c.began, "PromptParts": c.parts, "Trial": c.trial != nil,
+		"AgeMilliseconds": time.Since(c.at).Milliseconds(), "Cause": c.cause,
 	})
 }
--- a/relay/part.go
+++ b/relay/part.go
@@ -118,19 +118,17 @@
 	}
 }
 
-// partDigests returns the digests of the parts of a call's prompt that other prompts
-// may share.
-func (cs *callState) partDigests() []string {
-	if cs.parts == nil {
-		shared := cs.call.Prompt.sharedParts()
-		for _, id := range shared[:min(len(shared), maxCheckedParts)] {
-			cs.parts = append(cs.parts, document.Digest([]byte("part\x00"+cs.call.Prompt.Model+"\x00"+id)))
-		}
+// partDigests returns the digests of the parts of a prompt that other prompts may share.
+func (p Prompt) partDigests() []string {
+	shared := p.sharedParts()
+	var out []string
+	for _, id := range shared[:min(len(shared), maxCheckedParts)] {
+		out = append(out, document.Digest([]byte("part\x00"+p.Model+"\x00"+id)))
 	}
-	return cs.parts
+	return out
 }
 
-// isSound reports whether answers were generated with a part, as far as this entry or
+// isSound reports whether whole answers were generated with a part, as far as this entry or
 // control knows.
 func (r *Relay) isSound(digest string) bool {
 	return r.strikes.PartStrikes(digest).GetSound() || r.parts.isSound(digest, time.Now())
@@ -170,7 +168,7 @@
 	if cs.trial != nil || !r.strikes.HasStrikes() {
 		return nil, nil
 	}
-	digests, now := cs.partDigests(), time.Now()
+	digests, now := cs.parts, time.Now()
 	suspects := map[string][]string{}
 	var struck []string
 	failedTrials := uint32(0)
@@ -264,7 +262,7 @@
 
 // unproven returns the parts of a call's prompt that are not known as sound.
 func (r *Relay) unproven(cs *callState) []string {
-	return slices.DeleteFunc(slices.Clone(cs.partDigests()), r.isSound)
+	return slices.DeleteFunc(slices.Clone(cs.parts), r.isSound)
 }
 
 // proveParts records that an endpoint generated an answer to a call. One that ended
@@ -274,7 +272,7 @@
 	switch {
 	case !reply.Unframed:
 		cs.trial = nil
-		r.markSound(cs.partDigests())
+		r.markSound(cs.parts)
 	case cs.trial != nil, len(r.unproven(cs)) > 0:
 		r.queueReport(cs, r.newReport(cs, cs.endpoint, reportComplete, nil))
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -134,7 +134,7 @@
 func (r *Relay) Serve(ctx context.Context, c *Call, a AnswerWriter) {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	cs := &callState{call: c, answer: a, lastEvent: c.LastEvent, attempted: map[string]bool{}, record: r.decisions.Begin(c.ID, c.Arrived)}
+	cs := &callState{call: c, answer: a, lastEvent: c.LastEvent, attempted: map[string]bool{}, parts: c.Prompt.partDigests(), record: r.decisions.Begin(c.ID, c.Arrived)}
 	if r.draining.Load() {
 		r.refuse(cs, Refusal{Reason: Stopping, RetryAfter: stoppingRetryAfter}, nil)
 		return
--- a/relay/strike.go
+++ b/relay/strike.go
@@ -107,7 +107,7 @@
 	endpoint Endpoint
 	// engine is true for a model engine.
 	engine bool
-	// parts are the IDs of the parts of the prompt that other prompts may share, and
+	// parts are the first IDs of the parts of the prompt that other prompts may share, and
 	// began is true where the endpoint had sent events of the answer.
 	parts []string
 	began bool
@@ -115,17 +115,24 @@
 	// trial of.
 	partDigests []string
 	trial       []string
-	// cause is the error of the call, nil for none, and at when it was seen.
-	cause error
+	// cause is the error of the call, empty for none, and at when it was seen.
+	cause string
 	at    time.Time
 }
 
-func (r *Relay) newReport(cs *callState, at Endpoint, kind reportKind, cause error) crashReport {
-	return crashReport{
-		kind: kind, request: cs.call.ID, digest: cs.call.digest(), endpoint: at, engine: cs.reservesMemory(),
-		parts: cs.call.Prompt.sharedParts(), began: cs.attemptEvents > 0, partDigests: cs.partDigests(), trial: cs.trial,
-		cause: cause, at: time.Now(),
+// newReport returns a report, which keeps nothing of the call's headers.
+func (r *Relay) newReport(cs *callState, at Endpoint, kind reportKind, err error) crashReport {
+	c := crashReport{
+		kind: kind, request: strings.Clone(cs.call.ID), digest: cs.call.digest(), endpoint: at, engine: cs.reservesMemory(),
+		began: cs.attemptEvents > 0, partDigests: cs.parts, trial: cs.trial, at: time.Now(),
 	}
+	for _, id := range logs.TruncateList(cs.call.Prompt.sharedParts()) {
+		c.parts = append(c.parts, strings.Clone(id))
+	}
+	if err != nil {
+		c.cause = logs.Truncate(err.Error())
+	}
+	return c
 }
 
 // reportFailed queues a report of an attempt that was sent and failed, where it may have
@@ -139,11 +146,12 @@
 	}
 }
 
-// queueReport queues a report without blocking, with the trial of its call.
+// queueReport queues a report without blocking, with the trial of its call. A trial whose
+// report is dropped expires, and counts as failed then.
 func (r *Relay) queueReport(cs *callState, c crashReport) {
+	cs.trial = nil
 	select {
 	case r.crashReports <- c:
-		cs.trial = nil
 	default:
 		r.logReport(c).Warn("crash not counted, too many reports are waiting")
 	}
@@ -188,6 +196,6 @@
 	defer cancel()
 	err := r.strikes.AddStrike(ctx, c.digest)
 	r.log.WithError(err).WithFields(logrus.Fields{
-		"Request": logs.Truncate(c.request), "Content": logs.Truncate(c.digest), "Endpoint": c.endpoint.Name, "Began": c.began, "PromptParts": logs.TruncateList(c.parts),
+		"Request": logs.Truncate(c.request), "Content": logs.Truncate(c.digest), "Endpoint": c.endpoint.Name, "Began": c.began, "PromptParts": c.parts,
 	}).Warn("crash counted against a content")
 }
