--- a/answers/transport.go
+++ b/answers/transport.go
@@ -59,9 +59,9 @@
 }
 
 // RoundTrip sends a request. The error wraps a *TooLongError where the head of the answer
-// was given up, and is a *StatusError for an answer whose status is none. An answer that ends with its connection ends with a *RequestUnsentError
-// where its request was not written whole: a reset that the write met makes what was
-// received look like the whole.
+// was given up, and is a *StatusError for an answer whose status is none. An answer that
+// ends with its connection ends with a *RequestUnsentError where its request was not
+// written whole: a reset that the write met makes what was received look like the whole.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	// net/http may try a second connection where a kept one turns out to be closed.
 	var used *conn
