Ask for a listener, an answer without an end and a report's fields in one place

Alive dialled as CheckListener does, and goes; the test for an answer that ends with its connection stood in the client and in the transport; addStrike repeated the fields of logReport. An answer of a plain service took the lock of the parts though it has none. The error for a status that is none of HTTP is InvalidStatusError, as relay has another StatusError.

--- a/answers/transport.go
+++ b/answers/transport.go
@@ -59,7 +59,7 @@
 }
 
 // RoundTrip sends a request. The error wraps a *TooLongError where the head of the answer
-// was given up, and is a *StatusError for an answer whose status is none. An answer that
+// was given up, and is a *InvalidStatusError for an answer whose status is none. An answer that
 // ends with its connection ends with a *RequestUnsentError where its request was not
 // written whole: a reset that the write met makes what was received look like the whole.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -83,7 +83,7 @@
 	res, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err == nil && !isFinal(res.StatusCode) {
 		_ = res.Body.Close()
-		res, err = nil, &StatusError{Status: res.StatusCode}
+		res, err = nil, &InvalidStatusError{Status: res.StatusCode}
 	}
 	if err != nil || head == nil {
 		end()
@@ -91,26 +91,32 @@
 	}
 	used.endHead()
 	b := &body{ReadCloser: res.Body, head: head}
-	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+	if Unframed(res) {
 		b.request = written.Load()
 	}
 	res.Body = b
 	return res, nil
 }
 
+// Unframed reports whether an answer has neither a length nor chunks, so that its end is
+// that of the connection.
+func Unframed(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // isFinal reports whether a status is one with which HTTP answers a request. Switching
 // protocols answers none of ours.
 func isFinal(status int) bool {
 	return status >= minFinalStatus && status <= maxFinalStatus
 }
 
-// StatusError reports an answer whose status is none of HTTP.
-type StatusError struct {
+// InvalidStatusError reports an answer whose status is none of HTTP.
+type InvalidStatusError struct {
 	Status int
 }
 
 // Error returns a message with the status.
-func (e *StatusError) Error() string {
+func (e *InvalidStatusError) Error() string {
 	return fmt.Sprintf("answer has status %03d", e.Status)
 }
 
--- a/relay/crashing_part_test.go
+++ b/relay/crashing_part_test.go
@@ -238,16 +238,11 @@
 	return "hold", err
 }
 
-func (c *crashingEngines) Alive(_ context.Context, e Endpoint) bool {
-	_, err := c.running(e.Name)
-	return err == nil
-}
-
-func (c *crashingEngines) CheckLifetime(ctx context.Context, e Endpoint) Lifetime {
-	if c.Alive(ctx, e) {
-		return LifetimeRunning
+func (c *crashingEngines) CheckLifetime(_ context.Context, e Endpoint) Lifetime {
+	if _, err := c.running(e.Name); err != nil {
+		return LifetimeEnded
 	}
-	return LifetimeEnded
+	return LifetimeRunning
 }
 
 func (c *crashingEngines) CheckListener(ctx context.Context, e Endpoint) Lifetime {
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -49,8 +49,6 @@
 	// Reserve reserves a slot and memory for tokens. The reservation expires after ttl
 	// unless a call uses it. Reserve returns its ID.
 	Reserve(ctx context.Context, e Endpoint, tokens int, ttl time.Duration) (string, error)
-	// Alive reports whether an endpoint accepts connections.
-	Alive(ctx context.Context, e Endpoint) bool
 	// CheckLifetime asks an engine whether it still runs in the lifetime of its record.
 	CheckLifetime(ctx context.Context, e Endpoint) Lifetime
 	// CheckListener checks whether anything accepts connections at an endpoint's address.
--- a/relay/part.go
+++ b/relay/part.go
@@ -270,6 +270,7 @@
 // must go on for it to count.
 func (r *Relay) proveParts(cs *callState, reply *Reply) {
 	switch {
+	case len(cs.parts) == 0:
 	case !reply.Unframed:
 		cs.trial = nil
 		r.markSound(cs.parts)
--- a/relay/prefill.go
+++ b/relay/prefill.go
@@ -28,7 +28,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
-	return !r.engines.Alive(ctx, cs.endpoint)
+	return r.engines.CheckListener(ctx, cs.endpoint) != LifetimeRunning
 }
 
 // prefill has a prefill engine compute the prompt for the engine of a reservation, first the
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -272,8 +272,6 @@
 	return "hold", nil
 }
 
-func (s *scriptedEndpoints) Alive(context.Context, Endpoint) bool { return s.alive }
-
 func (s *scriptedEndpoints) CheckLifetime(context.Context, Endpoint) Lifetime {
 	if s.alive {
 		return LifetimeRunning
--- a/relay/strike.go
+++ b/relay/strike.go
@@ -9,8 +9,6 @@
 	"syscall"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"ebonyreel/document"
 	"ebonyreel/logs"
 	controlv1 "ebonyreel/proto/control/v1"
@@ -195,7 +193,5 @@
 	ctx, cancel := context.WithTimeout(ctx, strikeTimeout)
 	defer cancel()
 	err := r.strikes.AddStrike(ctx, c.digest)
-	r.log.WithError(err).WithFields(logrus.Fields{
-		"Request": logs.Truncate(c.request), "Content": logs.Truncate(c.digest), "Endpoint": c.endpoint.Name, "Began": c.began, "PromptParts": c.parts,
-	}).Warn("crash counted against a content")
+	r.logReport(c).WithError(err).Warn("crash counted against a content")
 }
