--- a/relay/burst_test.go
+++ b/relay/burst_test.go
@@ -94,7 +94,8 @@
 	return &Reply{Status: http.StatusOK, Events: true, Header: http.Header{}, Body: out}, nil
 }
 
-func (e *fakeEngines) CheckLifetime(context.Context, Endpoint) Lifetime           { return LifetimeRunning }
+func (e *fakeEngines) CheckLifetime(context.Context, Endpoint) Lifetime { return LifetimeRunning }
+
 func (e *fakeEngines) CheckListener(context.Context, Endpoint) Lifetime           { return LifetimeRunning }
 func (e *fakeEngines) FreePrefill(context.Context, Handle) error                  { return nil }
 func (e *fakeEngines) ReleaseReservation(context.Context, Endpoint, string) error { return nil }
