Play all series of calls with crashing parts by one piece of code

TestPlatformCrashingPart repeated endsPlay, which it calls now with one kill, and the stand-in's answers repeated writeEvents. One check serves this test and that of the seeds; it fails where no sound call came after the bound too, which that of the seeds did not. Only calls with the crashing part draw a way to end, so that a seed's draws do not depend on sound calls. Assertions and bounds are the same.

--- a/proof/platform_crash_test.go
+++ b/proof/platform_crash_test.go
@@ -60,7 +60,7 @@
 	},
 	"events": func(e *platformEngine, w http.ResponseWriter, r *http.Request) {
 		const events = 8
-		if e.writeEvents(w, r, events) {
+		if e.writeEvents(w, r, 0, events) {
 			e.crash()
 		}
 	},
@@ -147,7 +147,7 @@
 		running <- struct{}{}
 		defer func() { <-running }()
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			p := endsPlay{every: 200 * time.Millisecond, random: rand.New(rand.NewPCG(1, 2))}
+			p := endsPlay{length: endsLength, every: 200 * time.Millisecond, random: rand.New(rand.NewPCG(1, 2))}
 			if d.HasArg("end") {
 				p.ends = make([]string, 1)
 				d.ScanArgs(t, "end", &p.ends[0])
@@ -159,8 +159,8 @@
 			if d.HasArg("every") {
 				p.every = scanDuration(t, d, "every")
 			}
-			late, begun, all := p.run(t)
-			return fmt.Sprintf("calls beyond the bound: %t\nsound calls begin: %t\n", late > lateCalls, all > 0 && 2*begun >= all)
+			c := p.run(t)
+			return fmt.Sprintf("calls beyond the bound: %t\nsound calls begin: %t\n", c.tooMany(), c.served())
 		})
 	})
 }
@@ -177,7 +177,7 @@
 			defer func() { <-running }()
 			random := rand.New(rand.NewPCG(seed, 58))
 			p := endsPlay{
-				every: 100*time.Millisecond + time.Duration(random.IntN(900))*time.Millisecond, leaving: random.Float64() / 2,
+				length: endsLength, every: 100*time.Millisecond + time.Duration(random.IntN(900))*time.Millisecond, leaving: random.Float64() / 2,
 				leaves: 100*time.Millisecond + time.Duration(random.IntN(300))*time.Millisecond, random: random,
 			}
 			all := append(slices.Sorted(maps.Keys(engineEnds)), endInPrefill, endUnframed, "")
@@ -189,10 +189,7 @@
 			}
 			slices.Sort(p.kills)
 			t.Logf("ends %q every %s, %.2f leave after %s, kills at %s", p.ends, p.every, p.leaving, p.leaves, p.kills)
-			late, begun, sound := p.run(t)
-			if late > lateCalls || 2*begun < sound {
-				t.Errorf("%d calls beyond the bound, %d allowed; %d of %d sound calls begin", late, lateCalls, begun, sound)
-			}
+			p.run(t).check(t)
 		})
 	}
 }
@@ -215,6 +212,8 @@
 
 // endsPlay is a series of sound calls, and of calls with the crashing part.
 type endsPlay struct {
+	// length is how long calls are made.
+	length time.Duration
 	// ends are the ways in which engines end.
 	ends []string
 	// every is the time between two calls with the crashing part. The share leaving of
@@ -223,17 +222,20 @@
 	leaving       float64
 	// kills are when the last entry and the leader of the control hosts are killed, in
 	// order. They start again a second later.
-	kills  []time.Duration
+	kills []time.Duration
+	// random draws the ends and the callers who leave; nil where there are none.
 	random *rand.Rand
 }
 
-// run makes the calls, and returns what countPartCrashes does.
-func (p *endsPlay) run(t *testing.T) (late, begun, all int) {
+// run makes the calls, and returns what countPartCalls does.
+func (p *endsPlay) run(t *testing.T) partCalls {
 	t.Helper()
 	c, h, engines, entries := startPlatform(t, "v1")
-	engines.mu.Lock()
-	engines.ends, engines.random = p.ends, rand.New(rand.NewPCG(p.random.Uint64(), 1))
-	engines.mu.Unlock()
+	if len(p.ends) > 0 {
+		engines.mu.Lock()
+		engines.ends, engines.random = p.ends, rand.New(rand.NewPCG(p.random.Uint64(), 1))
+		engines.mu.Unlock()
+	}
 	start := time.Now()
 	var mu sync.Mutex
 	var sound []soundCall
@@ -241,7 +243,7 @@
 	offer := func(from, interval time.Duration, call func(n int)) {
 		done.Go(func() {
 			clock.Sleep(t.Context(), from)
-			for n := 0; time.Since(start) < endsLength; n++ {
+			for n := 0; time.Since(start) < p.length; n++ {
 				done.Go(func() { call(n) })
 				clock.Sleep(t.Context(), interval)
 			}
@@ -256,9 +258,9 @@
 		sound = append(sound, soundCall{sent: sent, begun: ok})
 	})
 	offer(platformCrashFrom, p.every, func(n int) {
-		timeout := endsLength
+		timeout := p.length
 		mu.Lock()
-		if p.random.Float64() < p.leaving {
+		if p.leaving > 0 && p.random.Float64() < p.leaving {
 			timeout = p.leaves
 		}
 		mu.Unlock()
@@ -282,5 +284,5 @@
 		}
 	})
 	done.Wait()
-	return countPartCrashes(t, engines, sound)
+	return countPartCalls(t, engines, sound)
 }
--- a/proof/platform_engine_test.go
+++ b/proof/platform_engine_test.go
@@ -277,13 +277,15 @@
 	}
 	w.Header().Set("X-Server-Seal", "seal")
 	w.Header().Set("Content-Type", "text/event-stream")
-	flush := http.NewResponseController(w).Flush
-	end := e.engines.drawEnd()
-	if bad && end == endUnframed {
+	end := ""
+	if bad {
+		end = e.engines.drawEnd()
+	}
+	if end == endUnframed {
 		e.endUnframed(w, r)
 		panic(http.ErrAbortHandler)
 	}
-	if err := flush(); err != nil {
+	if err := http.NewResponseController(w).Flush(); err != nil {
 		return
 	}
 	if bad {
@@ -294,17 +296,24 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	for i := nextEvent(r.Header.Get("Last-Event-Id")); i < platformEvents; i++ {
+	e.writeEvents(w, r, nextEvent(r.Header.Get("Last-Event-Id")), platformEvents)
+}
+
+// writeEvents writes the events of an answer from one ID until before another, and reports
+// whether the caller stayed.
+func (e *platformEngine) writeEvents(w http.ResponseWriter, r *http.Request, from, until int) bool {
+	for i := from; i < until; i++ {
 		if !clock.Sleep(r.Context(), platformGap) {
-			return
+			return false
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, e.version); err != nil {
-			return
+			return false
 		}
-		if err := flush(); err != nil {
-			return
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return false
 		}
 	}
+	return true
 }
 
 // nextEvent returns the ID of the event after the last one that a caller has received.
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -3,11 +3,9 @@
 import (
 	"fmt"
 	"net/netip"
-	"sync"
 	"testing"
 	"time"
 
-	"ebonyreel/clock"
 	"ebonyreel/document"
 	"ebonyreel/settings"
 	"ebonyreel/standin/ports"
@@ -43,7 +41,7 @@
 // known, and must not forget it.
 func TestPlatformCrashingPart(t *testing.T) {
 	p := endsPlay{length: platformLength, every: 200 * time.Millisecond, kills: []time.Duration{platformKills}}
-	checkPartCrashes(p.run(t))
+	p.run(t).check(t)
 }
 
 // soundCall is a call without the crashing part. begun is true where its stream began.
@@ -52,10 +50,35 @@
 	begun bool
 }
 
-// countPartCrashes returns the number of calls with the crashing part that reached engines
-// too late, and of the sound calls after the bound those that began and all.
-func countPartCrashes(t *testing.T, engines *platformEngines, sound []soundCall) (late, begun, all int) {
+// partCalls are counts of calls after the bound.
+type partCalls struct {
+	// late are those with the crashing part that reached engines.
+	late int
+	// begun are the sound ones whose streams began, and sound all of them.
+	begun, sound int
+}
+
+// tooMany reports whether more calls with the crashing part than allowed reached engines.
+func (c partCalls) tooMany() bool { return c.late > lateCalls }
+
+// served reports whether at least half of the sound calls began.
+func (c partCalls) served() bool { return c.sound > 0 && 2*c.begun >= c.sound }
+
+// check checks the bounds on calls with the crashing part and on sound ones.
+func (c partCalls) check(t *testing.T) {
+	t.Helper()
+	if c.tooMany() {
+		t.Errorf("%d calls with the crashing part reached engines later than %s after crash %d, %d allowed", c.late, crashBound, crashesBeforeBound, lateCalls)
+	}
+	if !c.served() {
+		t.Errorf("%d of %d sound calls begin", c.begun, c.sound)
+	}
+}
+
+// countPartCalls counts the calls that reached engines, and sound ones, after the bound.
+func countPartCalls(t *testing.T, engines *platformEngines, sound []soundCall) partCalls {
 	t.Helper()
+	var out partCalls
 	engines.mu.Lock()
 	defer engines.mu.Unlock()
 	if len(engines.crashes) == 0 {
@@ -64,19 +87,19 @@
 	bound := engines.crashes[min(crashesBeforeBound, len(engines.crashes))-1]
 	for _, at := range engines.reached {
 		if len(engines.crashes) >= crashesBeforeBound && at.Sub(bound) > crashBound {
-			late++
+			out.late++
 		}
 	}
 	for _, s := range sound {
 		if s.sent.Sub(bound) > soundBound {
-			all++
+			out.sound++
 			if s.begun {
-				begun++
+				out.begun++
 			}
 		}
 	}
-	t.Logf("%d crashes, %d calls beyond the bound, %d of %d sound calls begin", len(engines.crashes), late, begun, all)
-	return late, begun, all
+	t.Logf("%d crashes, %d calls beyond the bound, %d of %d sound calls begin", len(engines.crashes), out.late, out.begun, out.sound)
+	return out
 }
 
 // startPlatform starts control hosts, engines of some versions, and entries that serve.
