--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -64,6 +64,9 @@
 	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// maxFds are the descriptors that the sheet gives to a process.
+var maxFds = map[string]int{"entry": 4100, "control": 4096}
+
 var usedPorts = map[int]bool{}
 
 // freeAddress returns a free loopback address.
@@ -162,7 +165,9 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command(filepath.Join("target", p.program), "--settings", p.file)
+	// The platform limits the descriptors of each process (maxFds of the sheet).
+	command := fmt.Sprintf("ulimit -n %d && exec target/%s --settings %s", maxFds[p.program], p.program, p.file)
+	cmd := exec.Command("/bin/sh", "-c", command)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = d.root, log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
