Show that an acknowledged removal of an unknown endpoint is forgotten

Case review/8: the pings of a new worker are held up by a cut from control. It leaves after the cut, and its DELETE is answered 200; then a ping of before arrives, and all entries send it requests.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd)
 [ -x "$root/build/review-2/harness" ] && [ -x "$root/target/entry" ] && [ -x "$root/target/control" ] || exit 2
-exec "$root/build/review-2/harness" slowread "$root" record.txt
+exec "$root/build/review-2/harness" removed "$root" record.txt
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,6 +39,8 @@
 	stop   context.CancelFunc
 	state  atomic.Value
 	seq    atomic.Uint64
+	// leaves is true once the worker sends no more pings.
+	leaves atomic.Bool
 	holds  atomic.Uint64
 
 	mu   sync.Mutex
@@ -63,7 +66,7 @@
 		}
 		for n := 0; ; n++ {
 			w.ping(w.controls[n%len(w.controls)])
-			if !sleep(ctx, heartbeat) {
+			if !sleep(ctx, heartbeat) || w.leaves.Load() {
 				return
 			}
 		}
@@ -82,7 +85,11 @@
 	if err != nil {
 		return false
 	}
-	for _, c := range append([]string{first}, w.controls...) {
+	next := append([]string{first}, slices.DeleteFunc(slices.Clone(w.controls), func(c string) bool { return c == first })...)
+	for _, c := range next {
+		if w.leaves.Load() {
+			return false
+		}
 		r, err := http.NewRequest(http.MethodPut, "http://"+c+"/instances/"+w.id, bytes.NewReader(b))
 		if err != nil {
 			return false
